--- /dev/null
+++ b/src/controller/api.rs
@@ -0,0 +1,386 @@
+//! What users and workers ask: routing, submissions, polls, cancellations.
+
+use super::job::{self, Job, JobRecord, StoredStage};
+use super::{Controller, Effect, Known, Op, Ticket};
+use crate::state::{StateCall, StateReply};
+use crate::time::Micros;
+use crate::wire::{self, Condition, JobSpec, JobStage, Txn, Write, path};
+use log::info;
+use serde_json::{Value, json};
+use std::rc::Rc;
+
+/// Times that a cancellation is tried anew when something came in between.
+const CANCEL_TRIES: u32 = 4;
+
+impl Controller {
+    pub(super) fn respond(
+        &mut self,
+        ticket: Ticket,
+        status: u16,
+        retry_after: Option<u64>,
+        body: &Value,
+    ) {
+        let body = serde_json::to_vec(body).unwrap_or_default();
+        self.out.push(Effect::Respond { ticket, status, retry_after, body });
+    }
+
+    pub(super) fn later(&mut self, ticket: Ticket, status: u16, reason: &str) {
+        self.counts.refused += 1;
+        log::debug!("answered {status}: {reason}");
+        let s = if status == 429 { self.options.retry_after_s } else { 1 };
+        self.respond(ticket, status, Some(s), &json!({"error": reason}));
+    }
+
+    pub(super) fn http(&mut self, ticket: Ticket, method: &str, target: &str, body: &[u8]) {
+        let target = target.split('?').next().unwrap_or("");
+        let allowed = if target == path::REPORT || target == path::JOBS {
+            "POST"
+        } else if target == path::HEALTH {
+            "GET"
+        } else if let Some(rest) = target.strip_prefix(path::JOBS).and_then(|r| r.strip_prefix('/'))
+        {
+            match rest.split_once('/') {
+                None => "GET",
+                Some((_, end)) if end == path::CANCEL => "POST",
+                Some(_) => return self.respond(ticket, 404, None, &json!({"error": "no such path"})),
+            }
+        } else {
+            return self.respond(ticket, 404, None, &json!({"error": "no such path"}));
+        };
+        if method != allowed {
+            return self.respond(ticket, 405, None, &json!({"error": "method not allowed"}));
+        }
+        match target {
+            path::REPORT => self.report(ticket, body),
+            path::JOBS => self.submit(ticket, body),
+            path::HEALTH => {
+                if self.healthy() {
+                    self.respond(ticket, 200, None, &json!({"ok": true}));
+                } else {
+                    self.respond(ticket, 503, Some(1), &json!({"ok": false}));
+                }
+            }
+            _ => {
+                let rest = target.get(path::JOBS.len() + 1..).unwrap_or("");
+                let (id, cancel) = match rest.split_once('/') {
+                    None => (rest, false),
+                    Some((id, _)) => (id, true),
+                };
+                if !wire::valid_job_id(id) {
+                    return self.respond(ticket, 404, None, &json!({"error": "no such job"}));
+                }
+                if cancel { self.cancel(ticket, id) } else { self.poll(ticket, id) }
+            }
+        }
+    }
+
+    /// Whether users should be sent here. In an outage of the state service
+    /// all nodes stay in, so that service resumes the moment that it returns;
+    /// a node that alone lost it steps back, which its peers' frames tell.
+    fn healthy(&self) -> bool {
+        if self.types.is_empty() {
+            return false;
+        }
+        if self.acting() {
+            return (0..self.seats.len()).any(|s| self.runs(s));
+        }
+        let others_well = self.peers.iter().any(|(n, p)| self.peer_alive(*n) && p.state_ok);
+        self.lease.epoch > 0 && self.seats_read && !others_well && self.lease.id.is_some()
+    }
+
+    /// The seat that accepts new jobs here: the home seat if it is held.
+    fn accepting_seat(&self) -> Option<usize> {
+        if self.runs(self.me) {
+            return Some(self.me);
+        }
+        (0..self.seats.len()).find(|s| self.runs(*s))
+    }
+
+    fn submit(&mut self, ticket: Ticket, body: &[u8]) {
+        let mut spec = match wire::parse_job(body) {
+            Ok(spec) => spec,
+            Err(bad) => {
+                let answer = json!({"error": bad.reason, "field": bad.field});
+                return match bad.id {
+                    None => self.respond(ticket, 400, None, &answer),
+                    // A known job's repeat is answered 200 before any other check.
+                    Some(id) => self.read_or(ticket, &id, 400, None, &answer),
+                };
+            }
+        };
+        if let Some(known) = self.known.get(&spec.id).copied() {
+            if known.stage != StoredStage::Accepted {
+                let answer = self.job_answer(&spec.id, known);
+                return self.respond(ticket, 200, None, &answer);
+            }
+            // Another node may have cancelled it since: only the store knows.
+            let otherwise = json!({"error": "undecided"});
+            return self.read_or(ticket, &spec.id, 503, Some(1), &otherwise);
+        }
+        if self.types.is_empty() {
+            return self.later(ticket, 503, "machine types are not known yet");
+        }
+        if let Some(reason) = self.never_fits(&spec) {
+            return self.read_or(ticket, &spec.id, 422, None, &json!({"error": reason}));
+        }
+        let Some(seat) = self.accepting_seat() else {
+            return self.later(ticket, 503, "no seat is held");
+        };
+        let queued: usize = self.jobs.values().map(|j| j.spec.tasks as usize).sum();
+        if self.submissions >= self.options.waiting_submissions {
+            return self.later(ticket, 429, "too many submissions wait");
+        }
+        if queued + spec.tasks as usize > self.options.queued_tasks && queued > 0 {
+            return self.later(ticket, 429, "too many tasks wait");
+        }
+        // Types that the cloud does not offer never matter, and a long list of
+        // them would not fit beside the tasks.
+        if let Some(types) = &mut spec.types {
+            types.retain(|t| self.types.contains_key(t));
+        }
+        let size = serde_json::to_vec(&spec).map_or(usize::MAX, |v| v.len());
+        if size > job::MAX_SPEC_BYTES {
+            let answer = json!({"error": "description too long", "field": ""});
+            return self.read_or(ticket, &spec.id, 400, None, &answer);
+        }
+        let Some(mine) = self.seats[seat].mine.clone() else {
+            return self.later(ticket, 503, "no seat is held");
+        };
+        let spec = Rc::new(spec);
+        let accepted = self.wall();
+        let mut job = Job::new(Rc::clone(&spec), seat, 0, accepted, self.part_size);
+        job.parts[0].version = 1;
+        let record = JobRecord { seat, stage: StoredStage::Accepted, tasks: spec.tasks };
+        let (record_key, part_key) = (job::job_key(&spec.id), job::part_key(seat, &spec.id, 0));
+        let txn = Txn {
+            conditions: vec![
+                Condition { key: record_key.clone(), version: 0 },
+                Condition { key: part_key.clone(), version: 0 },
+                Condition { key: super::seat::hold_key(seat), version: mine.mark },
+            ],
+            writes: vec![
+                Write::Put { key: record_key, value: json!(record), lease: None },
+                Write::Put { key: part_key, value: job.encode_part(0), lease: None },
+            ],
+        };
+        self.submissions += 1;
+        self.state(
+            Op::Submit { ticket, spec, seat, term: mine.term, accepted },
+            StateCall::Txn(txn),
+        );
+    }
+
+    /// Why a job can never run, if so.
+    fn never_fits(&self, spec: &JobSpec) -> Option<&'static str> {
+        let Some(team) = self.quotas.get(&spec.team) else {
+            return Some("unknown team");
+        };
+        if spec.cpus > team.limit[0] || spec.gpus > team.limit[1] {
+            return Some("a task needs more than the team's limit");
+        }
+        let fits = self.types.values().any(|t| {
+            spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
+                && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+                && spec.cpus <= t.cpus
+                && spec.gpus <= t.gpus
+                && spec.memory_gb <= t.memory_gb
+        });
+        (!fits).then_some("a task fits no allowed machine type")
+    }
+
+    /// Answers with the job's state if it is known to the store, and with the
+    /// given answer if not.
+    fn read_or(
+        &mut self,
+        ticket: Ticket,
+        id: &str,
+        status: u16,
+        retry_after: Option<u64>,
+        answer: &Value,
+    ) {
+        let body = serde_json::to_vec(answer).unwrap_or_default();
+        let op = Op::SubmitRead {
+            ticket,
+            job: id.to_string(),
+            otherwise: (status, retry_after, body),
+        };
+        self.state(op, StateCall::Get(job::job_key(id)));
+    }
+
+    fn poll(&mut self, ticket: Ticket, id: &str) {
+        if let Some(known) = self.known.get(id).copied()
+            && known.stage != StoredStage::Accepted
+        {
+            let answer = self.job_answer(id, known);
+            return self.respond(ticket, 200, None, &answer);
+        }
+        let op = Op::Poll { ticket, job: id.to_string() };
+        self.state(op, StateCall::Get(job::job_key(id)));
+    }
+
+    fn cancel(&mut self, ticket: Ticket, id: &str) {
+        if let Some(known) = self.known.get(id).copied()
+            && known.stage != StoredStage::Accepted
+        {
+            let answer = self.job_answer(id, known);
+            return self.respond(ticket, 200, None, &answer);
+        }
+        self.cancel_read(ticket, id, CANCEL_TRIES);
+    }
+
+    fn cancel_read(&mut self, ticket: Ticket, id: &str, tries: u32) {
+        if tries == 0 {
+            return self.later(ticket, 503, "undecided");
+        }
+        let op = Op::CancelRead { ticket, job: id.to_string(), tries: tries - 1 };
+        self.state(op, StateCall::Get(job::job_key(id)));
+    }
+
+    /// What a user is told of a job.
+    fn job_answer(&self, id: &str, known: Known) -> Value {
+        let (done, running) = match known.stage {
+            StoredStage::Done => (known.tasks, 0),
+            StoredStage::Cancelled => (self.progress.get(id).map_or(0, |p| p.0), 0),
+            StoredStage::Accepted => match self.jobs.get(id) {
+                Some(j) => (j.done(), j.running()),
+                None => self.progress.get(id).copied().unwrap_or((0, 0)),
+            },
+        };
+        let stage = match Controller::stage_word(known.stage) {
+            JobStage::Queued if running > 0 => JobStage::Running,
+            stage => stage,
+        };
+        json!({"ref": id, "stage": stage.word(), "done": done, "running": running})
+    }
+
+    /// Reads `j/REF`; what cannot be read counts as not answered.
+    fn read_record(&mut self, job: &str, reply: &StateReply) -> Option<Option<(Known, u64)>> {
+        match reply {
+            StateReply::Value(None) => Some(None),
+            StateReply::Value(Some(item)) => {
+                let r: JobRecord = serde_json::from_value(item.value.clone()).ok()?;
+                let known = Known { stage: r.stage, seat: r.seat, tasks: r.tasks };
+                self.note_known(job, known);
+                // This answer may have been overtaken by a later one.
+                let known = self.known.get(job).copied().unwrap_or(known);
+                if known.stage == StoredStage::Cancelled {
+                    self.job_cancelled(job);
+                }
+                Some(Some((known, item.version)))
+            }
+            _ => None,
+        }
+    }
+
+    pub(super) fn api_reply(&mut self, op: Op, reply: StateReply) {
+        match op {
+            Op::Submit { ticket, spec, seat, term, accepted } => {
+                self.submissions = self.submissions.saturating_sub(1);
+                self.submit_reply(ticket, spec, seat, term, accepted, reply);
+            }
+            Op::SubmitRead { ticket, job, otherwise } => match self.read_record(&job, &reply) {
+                Some(Some((known, _))) => {
+                    let answer = self.job_answer(&job, known);
+                    self.respond(ticket, 200, None, &answer);
+                }
+                Some(None) => {
+                    let (status, retry_after, body) = otherwise;
+                    self.out.push(Effect::Respond { ticket, status, retry_after, body });
+                }
+                None => self.later(ticket, 503, "state service away"),
+            },
+            Op::Poll { ticket, job } => match self.read_record(&job, &reply) {
+                Some(Some((known, _))) => {
+                    let answer = self.job_answer(&job, known);
+                    self.respond(ticket, 200, None, &answer);
+                }
+                Some(None) => self.respond(ticket, 404, None, &json!({"error": "no such job"})),
+                None => self.later(ticket, 503, "state service away"),
+            },
+            Op::CancelRead { ticket, job, tries } => match self.read_record(&job, &reply) {
+                Some(Some((known, mark))) if known.stage == StoredStage::Accepted => {
+                    let record =
+                        JobRecord { seat: known.seat, stage: StoredStage::Cancelled, tasks: known.tasks };
+                    let key = job::job_key(&job);
+                    let txn = Txn {
+                        conditions: vec![Condition { key: key.clone(), version: mark }],
+                        writes: vec![Write::Put { key, value: json!(record), lease: None }],
+                    };
+                    let op =
+                        Op::CancelWrite { ticket, job, seat: known.seat, tasks: known.tasks, tries };
+                    self.state(op, StateCall::Txn(txn));
+                }
+                Some(Some((known, _))) => {
+                    let answer = self.job_answer(&job, known);
+                    self.respond(ticket, 200, None, &answer);
+                }
+                Some(None) => self.respond(ticket, 404, None, &json!({"error": "no such job"})),
+                None => self.later(ticket, 503, "state service away"),
+            },
+            Op::CancelWrite { ticket, job, seat, tasks, tries } => match reply {
+                StateReply::Applied(_) => {
+                    info!("job {job} cancelled by its user");
+                    let known = Known { stage: StoredStage::Cancelled, seat, tasks };
+                    self.note_known(&job, known);
+                    self.note_cancelled.push(job.clone());
+                    self.job_cancelled(&job);
+                    let answer = self.job_answer(&job, known);
+                    self.respond(ticket, 200, None, &answer);
+                }
+                // Changed in between, or perhaps applied: what is stored decides.
+                StateReply::Conflict(_) | StateReply::Unknown => {
+                    self.cancel_read(ticket, &job, tries)
+                }
+                _ => self.later(ticket, 503, "state service away"),
+            },
+            _ => {}
+        }
+    }
+
+    fn submit_reply(
+        &mut self,
+        ticket: Ticket,
+        spec: Rc<JobSpec>,
+        seat: usize,
+        term: u64,
+        accepted: Micros,
+        reply: StateReply,
+    ) {
+        match reply {
+            StateReply::Applied(mark) => {
+                info!(
+                    "job {} accepted: {} tasks of {}, team {}",
+                    spec.id, spec.tasks, spec.class, spec.team
+                );
+                self.counts.accepted += 1;
+                let known = Known { stage: StoredStage::Accepted, seat, tasks: spec.tasks };
+                self.note_known(&spec.id, known);
+                let cancelled =
+                    self.known.get(&spec.id).is_some_and(|k| k.stage == StoredStage::Cancelled);
+                // The seat may have been lost meanwhile; whoever has it reads the job.
+                let held = self.seats[seat].mine.as_ref().is_some_and(|m| m.term == term);
+                if held && !self.jobs.contains_key(&spec.id) {
+                    let mut job =
+                        Job::new(Rc::clone(&spec), seat, mark, accepted, self.part_size);
+                    let part = &mut job.parts[0];
+                    (part.version, part.stored, part.mark) = (1, 1, mark);
+                    job.cancelled = cancelled;
+                    self.dirty_jobs.insert(spec.id.clone());
+                    self.jobs.insert(spec.id.clone(), job);
+                    self.place_wanted = true;
+                }
+                let answer = json!({"ref": spec.id, "stage": "queued"});
+                self.respond(ticket, 201, None, &answer);
+            }
+            StateReply::Conflict(failed) => {
+                if failed.iter().any(|k| *k == super::seat::hold_key(seat)) {
+                    self.suspect_seat(seat, term);
+                }
+                let otherwise = json!({"error": "undecided"});
+                self.read_or(ticket, &spec.id, 503, Some(1), &otherwise);
+            }
+            // It may still be applied; the watch then shows the job.
+            _ => self.later(ticket, 503, "state service away"),
+        }
+    }
+}
--- /dev/null
+++ b/src/controller/fleet.rs
@@ -0,0 +1,231 @@
+//! Renting: the machines that are wanted against those listed and reported.
+//!
+//! One seat at a time rents. It rebuilds what it knows from the cloud's list,
+//! so nothing of it needs to be stored; the names of its requests carry the
+//! seat's term and are never used again.
+
+use crate::peer::Demand;
+use crate::time::Micros;
+use crate::wire::{ListedMachine, MachineStage, MachineType, RentRequest};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The seat whose holder rents.
+pub const RENTING_SEAT: usize = 0;
+
+/// A kind of machine in a zone.
+pub type Offer = (String, String, bool);
+
+/// A rented machine.
+#[derive(Debug, Clone)]
+pub struct Rented {
+    /// Type.
+    pub machine_type: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot.
+    pub spot: bool,
+    /// Stage in the newest list.
+    pub stage: MachineStage,
+    /// When it was rented, as far as known.
+    pub since: Micros,
+    /// When it was first seen in a list.
+    pub listed: Option<Micros>,
+    /// Since when it has had nothing to do.
+    pub idle_since: Option<Micros>,
+}
+
+/// What the renting seat knows.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    /// Machines by name.
+    pub machines: BTreeMap<String, Rented>,
+    /// When to list next.
+    pub list_at: Micros,
+    /// A listing under way: when it began, and its pages so far.
+    pub listing: Option<(Micros, Vec<ListedMachine>)>,
+    /// A first list has been read.
+    pub listed: bool,
+    /// Offers that were refused, and until when that is believed.
+    pub refused: BTreeMap<Offer, Micros>,
+    /// The request under way, repeated until its outcome is known.
+    pub request: Option<RentRequest>,
+    /// It may be sent again from then on.
+    pub request_at: Micros,
+    /// It is being answered.
+    pub busy: bool,
+    /// Number of the last request of this term.
+    pub count: u64,
+    /// Machines about to be returned, and since when nothing is placed on them.
+    pub draining: BTreeMap<String, Micros>,
+    /// Return requests under way.
+    pub returning: BTreeSet<String>,
+    /// When to plan next.
+    pub plan_at: Micros,
+    /// When the types were last asked for.
+    pub types_at: Micros,
+}
+
+/// Room for tasks: CPUs, GPUs, memory.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Room {
+    /// Type.
+    pub machine_type: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot.
+    pub spot: bool,
+    /// Free amounts.
+    pub free: [f64; 3],
+}
+
+fn shape(d: &Demand) -> [f64; 3] {
+    [d.cpus, d.gpus, d.memory_gb]
+}
+
+fn allows(d: &Demand, machine_type: &str, zone: &str, spot: bool) -> bool {
+    (d.types.is_empty() || d.types.iter().any(|t| t == machine_type))
+        && d.zone.as_deref().is_none_or(|z| z == zone)
+        && (d.spot || !spot)
+}
+
+/// How many tasks of a shape fit into free amounts.
+pub fn fits(free: &[f64; 3], need: &[f64; 3]) -> u32 {
+    let mut n = f64::from(u32::MAX);
+    for (f, w) in free.iter().zip(need) {
+        if *w > 0.0 {
+            n = n.min((f + 1e-9) / w);
+        }
+    }
+    if n <= 0.0 { 0 } else { n as u32 }
+}
+
+/// Tasks that find no room in `rooms`, which is filled up on the way. Larger
+/// shapes go first, since small ones fit into what they leave.
+pub fn unmet(demand: &[Demand], rooms: &mut [Room]) -> Vec<Demand> {
+    let mut order: Vec<&Demand> = demand.iter().collect();
+    order.sort_by(|a, b| b.cpus.total_cmp(&a.cpus).then(b.memory_gb.total_cmp(&a.memory_gb)));
+    let mut rest = Vec::new();
+    for d in order {
+        let need = shape(d);
+        let mut left = d.tasks;
+        for room in rooms.iter_mut() {
+            if left == 0 {
+                break;
+            }
+            if allows(d, &room.machine_type, &room.zone, room.spot) {
+                let n = fits(&room.free, &need).min(left);
+                left -= n;
+                for (f, w) in room.free.iter_mut().zip(need) {
+                    *f -= w * f64::from(n);
+                }
+            }
+        }
+        if left > 0 {
+            rest.push(Demand { tasks: left, ..d.clone() });
+        }
+    }
+    rest
+}
+
+/// What to rent for tasks without room: the cheapest offer for them that has
+/// not been refused lately, in the zone with the fewest machines of its kind.
+pub fn next_request(
+    rest: &[Demand],
+    types: &BTreeMap<String, MachineType>,
+    machines: &BTreeMap<String, Rented>,
+    refused: &BTreeMap<Offer, Micros>,
+    now: Micros,
+) -> Option<(Offer, u32)> {
+    let mut there: BTreeMap<(&str, &str, bool), u32> = BTreeMap::new();
+    for m in machines.values() {
+        *there.entry((&m.machine_type, &m.zone, m.spot)).or_insert(0) += 1;
+    }
+    for d in rest {
+        let need = shape(d);
+        let mut best: Option<(f64, u32, Offer, u32)> = None;
+        for t in types.values() {
+            let per = fits(&[t.cpus, t.gpus, t.memory_gb], &need);
+            if per == 0 {
+                continue;
+            }
+            for zone in &t.zones {
+                for spot in [false, true] {
+                    let offer = (t.name.clone(), zone.clone(), spot);
+                    if !allows(d, &t.name, zone, spot)
+                        || refused.get(&offer).is_some_and(|until| now < *until)
+                    {
+                        continue;
+                    }
+                    let price = if spot { t.spot_price } else { t.price };
+                    let cost = price / f64::from(per);
+                    let n = there
+                        .get(&(t.name.as_str(), zone.as_str(), spot))
+                        .copied()
+                        .unwrap_or(0);
+                    let better = best.as_ref().is_none_or(|(c, m, _, _)| {
+                        cost < c - 1e-9 || (cost < c + 1e-9 && n < *m)
+                    });
+                    if better {
+                        best = Some((cost, n, offer, d.tasks.div_ceil(per)));
+                    }
+                }
+            }
+        }
+        if let Some((_, _, offer, count)) = best {
+            // In parts, so that zones take turns and a wave of returns does
+            // not hit everything at once.
+            return Some((offer, count.clamp(1, 4)));
+        }
+    }
+    None
+}
+
+impl Fleet {
+    /// Takes in a complete list that was asked for at `asked`. Returns the
+    /// machines that are surely gone: listed before, and missing from a list
+    /// that is newer for certain, the lag being at most twice its nominal value.
+    pub fn take_list(
+        &mut self,
+        now: Micros,
+        asked: Micros,
+        list: &[ListedMachine],
+        lag: Micros,
+    ) -> Vec<String> {
+        self.listed = true;
+        let names: BTreeSet<&str> = list.iter().map(|m| m.name.as_str()).collect();
+        for m in list {
+            let age = Micros::from_secs_f64(m.age_s);
+            let entry = self.machines.entry(m.name.clone()).or_insert_with(|| Rented {
+                machine_type: m.machine_type.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                stage: m.stage,
+                since: now.since(age),
+                listed: None,
+                idle_since: None,
+            });
+            entry.stage = m.stage;
+            entry.listed.get_or_insert(now);
+        }
+        let sure = Micros(lag.0 * 2) + Micros::millis(500);
+        let gone: Vec<String> = self
+            .machines
+            .iter()
+            .filter(|(name, m)| {
+                !names.contains(name.as_str()) && m.listed.is_some_and(|at| asked > at + sure)
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in &gone {
+            self.forget(name);
+        }
+        gone
+    }
+
+    /// Forgets a machine that is gone.
+    pub fn forget(&mut self, name: &str) {
+        self.machines.remove(name);
+        self.draining.remove(name);
+        self.returning.remove(name);
+    }
+}
--- /dev/null
+++ b/src/controller/holder.rs
@@ -0,0 +1,475 @@
+//! The machines of this process's seats: reports in, commands out. What all
+//! seats want there against what is there.
+
+use super::machine::{self, Key, Outcome, Post};
+use super::quota::EPS;
+use super::seat::DRIFT;
+use super::{Controller, DirectReply, Effect, Op, Ticket};
+use crate::peer::{Frame, Heard, MachineView, Seen, SeatWants, WantedTask};
+use crate::time::Micros;
+use crate::wire::{Command, DirectCommands, Report, ReportReply};
+use log::{debug, info, warn};
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Added to a worker's lease before its tasks count as gone.
+const LEASE_MARGIN: Micros = Micros::millis(1_000);
+/// Failures of different jobs in a row after which a machine is set aside.
+const MACHINE_FAULTY: u32 = 3;
+/// Longest names that fit a stored placement.
+const MAX_NAME: usize = 40;
+
+/// Why commands are worked out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// For the answer to a report: everything that is still to be done.
+    Answer,
+    /// For direct commands: only what has not been sent yet.
+    Direct,
+}
+
+impl Controller {
+    /// Until when a worker may go on after its last answered report.
+    fn worker_lease(&self) -> Micros {
+        Micros::from_secs_f64(self.settings.workers.lease_s).stretched(DRIFT) + LEASE_MARGIN
+    }
+
+    pub(super) fn report(&mut self, ticket: Ticket, body: &[u8]) {
+        let report: Report = match serde_json::from_slice(body) {
+            Ok(r) => r,
+            Err(e) => {
+                self.counts.bad_reports += 1;
+                debug!("malformed report: {e}");
+                return self.respond(ticket, 400, None, &json!({"error": "malformed report"}));
+            }
+        };
+        if report.machine.is_empty()
+            || report.machine.len() > MAX_NAME
+            || report.zone.len() > MAX_NAME
+            || report.session == 0
+        {
+            self.counts.bad_reports += 1;
+            return self.respond(ticket, 400, None, &json!({"error": "malformed report"}));
+        }
+        self.counts.reports += 1;
+        let s = self.seat_of_machine(&report.machine);
+        let Some(term) = self.my_term(s) else {
+            let away = json!({"error": "seat not held here"});
+            return match self.holder(s) {
+                Some(h) if h != self.me => {
+                    let answer = json!({"foreman": self.members[h]});
+                    self.respond(ticket, 421, None, &answer)
+                }
+                _ => self.respond(ticket, 503, Some(1), &away),
+            };
+        };
+        if report.token > term || self.gone.contains(&report.machine) {
+            return self.respond(ticket, 503, Some(1), &json!({"error": "superseded"}));
+        }
+        let now = self.now;
+        let machine = report.machine.clone();
+        let post = self.posts.entry(machine.clone()).or_default();
+        if post.session == 0 {
+            info!("machine {machine} reports: {} in {}", report.machine_type, report.zone);
+        }
+        let Some(outcomes) = post.take_report(now, &report, term, true) else {
+            // Overtaken on its way: the worker has long given it up, and an
+            // answer would claim a lease that has been declared over.
+            return self.respond(ticket, 503, Some(1), &json!({"error": "overtaken"}));
+        };
+        post.answered = Some(now);
+        let known = post.known;
+        self.note_outcomes(&machine, outcomes);
+        let commands =
+            if known { self.commands(&machine, Way::Answer) } else { Vec::new() };
+        self.dirty_posts.insert(machine);
+        let body = serde_json::to_vec(&ReportReply { token: term, commands }).unwrap_or_default();
+        self.out.push(Effect::Respond { ticket, status: 200, retry_after: None, body });
+    }
+
+    fn note_outcomes(&mut self, machine: &str, outcomes: Vec<Outcome>) {
+        let Some(post) = self.posts.get_mut(machine) else {
+            return;
+        };
+        for o in outcomes {
+            match o {
+                Outcome::Done(_) => {
+                    post.failures = 0;
+                    post.failed_jobs.clear();
+                }
+                Outcome::Failed(key) => {
+                    post.failures += 1;
+                    post.failed_jobs.insert(key.job);
+                    if post.failures == MACHINE_FAULTY && post.failed_jobs.len() > 1 {
+                        warn!("machine {machine} fails what it starts; set aside");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes in what a seat wants on machines.
+    pub(super) fn hear_wants(&mut self, message: SeatWants) {
+        let s = message.seat as usize;
+        if s >= self.wants.len() || message.term < self.seats[s].term {
+            return;
+        }
+        let heard = &mut self.wants[s];
+        if (message.term, message.seq) <= (heard.term, heard.seq) {
+            return;
+        }
+        if message.term > heard.term {
+            // Starts asked for under the older term are dropped here; what
+            // runs stays until the new holder has said all it wants.
+            heard.term = message.term;
+            heard.complete = 0;
+        }
+        if !message.complete && heard.complete == 0 {
+            // Changes to a whole that has not been heard; its number is not
+            // taken over, or the whole would seem to be known already.
+            return;
+        }
+        heard.seq = message.seq;
+        let mut touched: BTreeSet<String> = BTreeSet::new();
+        if message.complete {
+            heard.complete = message.seq;
+            touched.extend(std::mem::take(&mut heard.machines).into_keys());
+        }
+        let now = self.now;
+        for m in message.machines {
+            touched.insert(m.machine.clone());
+            for t in &m.tasks {
+                if t.stop_ms.is_none() {
+                    self.images.note(now, &t.image, &m.machine, t.session);
+                }
+            }
+            self.wants[s].machines.insert(m.machine, (message.seq, m.tasks));
+        }
+        for machine in touched {
+            self.wants_changed(&machine);
+        }
+    }
+
+    fn wants_changed(&mut self, machine: &str) {
+        self.place_wanted = true;
+        if self.my_term(self.seat_of_machine(machine)).is_none() || self.gone.contains(machine) {
+            return;
+        }
+        self.posts.entry(machine.to_string()).or_insert_with(Post::default);
+        self.push(machine);
+        self.dirty_posts.insert(machine.to_string());
+    }
+
+    /// Whether everything that the job's seat wants has been heard: only then
+    /// does a task's absence from the wants mean that it is not wanted.
+    fn heard_all(&self, job: &str) -> bool {
+        let heard = |s: usize| {
+            let w = &self.wants[s];
+            w.complete > 0 && w.term == self.seats[s].term
+        };
+        match self.known.get(job) {
+            Some(k) if k.seat < self.wants.len() => heard(k.seat),
+            _ => (0..self.wants.len()).all(heard),
+        }
+    }
+
+    /// Works out the commands for a machine, and books what they start.
+    fn commands(&mut self, machine: &str, way: Way) -> Vec<Command> {
+        let mut wanted: BTreeMap<Key, WantedTask> = BTreeMap::new();
+        for w in &self.wants {
+            if let Some((_, tasks)) = w.machines.get(machine) {
+                for t in tasks {
+                    let key = Key { job: t.job.clone(), index: t.index, attempt: t.attempt };
+                    wanted.insert(key, t.clone());
+                }
+            }
+        }
+        let Some(post) = self.posts.get(machine) else {
+            return Vec::new();
+        };
+        let all: Vec<Key> = post
+            .tasks
+            .keys()
+            .chain(post.sent.keys())
+            .chain(&post.refused)
+            .chain(&post.waiting)
+            .filter(|k| !wanted.contains_key(k))
+            .cloned()
+            .collect();
+        let unwanted: BTreeSet<Key> = all.into_iter().filter(|k| self.heard_all(&k.job)).collect();
+        let size = self.types.get(&post.machine_type).map(|t| [t.cpus, t.gpus, t.memory_gb]);
+        let Some(post) = self.posts.get_mut(machine) else {
+            return Vec::new();
+        };
+        let mut commands = Vec::new();
+        for (key, seen) in &post.tasks {
+            match wanted.get(key) {
+                Some(w) => {
+                    if let Some(ms) = w.stop_ms
+                        && !seen.over()
+                        && (*seen != Seen::Saving || ms == 0)
+                        && (way == Way::Answer || post.pushed.insert(key.clone()))
+                    {
+                        commands.push(machine::stop(key, Micros::millis(ms)));
+                    }
+                }
+                None if unwanted.contains(key) => {
+                    if seen.over() {
+                        // A start of it that may still arrive would run it anew.
+                        if way == Way::Answer && !post.late.contains(key) {
+                            commands.push(machine::forget(key));
+                        }
+                    } else if way == Way::Answer {
+                        info!("machine {machine}: {} is not wanted there", key.task());
+                        commands.push(machine::stop(key, Micros::ZERO));
+                    }
+                }
+                None => {}
+            }
+        }
+        // What is not wanted any more, or is to be stopped before it began,
+        // is forgotten once no start of it can arrive.
+        let dropped = |key: &Key| {
+            unwanted.contains(key) || wanted.get(key).is_some_and(|w| w.stop_ms.is_some())
+        };
+        post.sent.retain(|key, sent| sent.open() || !dropped(key));
+        post.refused.retain(|key| !unwanted.contains(key));
+        post.waiting.retain(|key| !dropped(key));
+
+        let amount = |w: &WantedTask| [w.cpus, w.gpus, w.memory_gb];
+        let mut free = size.unwrap_or_default();
+        let mut freeing = false;
+        let mut strange = size.is_none();
+        let present = post.tasks.iter().filter(|(_, seen)| !seen.over()).map(|(k, _)| k);
+        for key in present.chain(post.sent.keys()) {
+            match wanted.get(key) {
+                Some(w) => {
+                    freeing |= w.stop_ms.is_some();
+                    for (f, a) in free.iter_mut().zip(amount(w)) {
+                        *f -= a;
+                    }
+                }
+                // How much it takes is not known: nothing is added until it is gone.
+                None => strange = true,
+            }
+        }
+        let mut starts: Vec<(&Key, &WantedTask)> = wanted
+            .iter()
+            .filter(|(k, w)| {
+                w.stop_ms.is_none()
+                    && w.session == post.session
+                    && !post.tasks.contains_key(k)
+                    && !post.refused.contains(k)
+            })
+            .collect();
+        starts.sort_by_key(|(k, w)| (w.rank, (*k).clone()));
+        for (key, w) in starts {
+            if !post.sent.contains_key(key) {
+                let fits = free.iter().zip(amount(w)).all(|(f, a)| *f + EPS >= a);
+                if strange || (!fits && freeing) {
+                    post.waiting.insert(key.clone());
+                    continue;
+                }
+                if !fits {
+                    debug!("machine {machine}: no room for {}", key.task());
+                    post.waiting.remove(key);
+                    post.refused.insert(key.clone());
+                    continue;
+                }
+                for (f, a) in free.iter_mut().zip(amount(w)) {
+                    *f -= a;
+                }
+                post.waiting.remove(key);
+                post.sent.insert(key.clone(), machine::Sent::default());
+            }
+            let Some(sent) = post.sent.get_mut(key) else {
+                continue;
+            };
+            match way {
+                Way::Answer => {
+                    sent.answered = true;
+                    commands.push(machine::start(key));
+                }
+                Way::Direct if !sent.open() => {
+                    sent.direct += 1;
+                    commands.push(machine::start(key));
+                }
+                Way::Direct => {}
+            }
+        }
+        commands
+    }
+
+    /// Sends what is new straight to the worker, instead of waiting for its
+    /// next report.
+    fn push(&mut self, machine: &str) {
+        let s = self.seat_of_machine(machine);
+        let Some(term) = self.my_term(s) else {
+            return;
+        };
+        let Some(post) = self.posts.get(machine) else {
+            return;
+        };
+        // A worker that is silent is not waited for with further connections.
+        let silent = Micros::from_secs_f64(self.settings.workers.report_s * 2.0 + 1.0);
+        let quiet = post.heard.is_none_or(|at| self.now.since(at) > silent);
+        if !post.known || post.direct_busy || quiet || self.now < post.direct_after {
+            return;
+        }
+        let (Some(address), session) = (post.address, post.session) else {
+            return;
+        };
+        let commands = self.commands(machine, Way::Direct);
+        if commands.is_empty() {
+            return;
+        }
+        let starts: Vec<Key> = commands
+            .iter()
+            .filter_map(|c| match c {
+                Command::Start { task, attempt } => Key::parse(task, *attempt),
+                _ => None,
+            })
+            .collect();
+        if let Some(post) = self.posts.get_mut(machine) {
+            post.direct_busy = true;
+        }
+        let body = DirectCommands { token: term, session, commands };
+        let body = serde_json::to_vec(&body).unwrap_or_default();
+        let id = self.call_id(Op::Direct { machine: machine.to_string(), starts, term });
+        self.out.push(Effect::Direct { id, address, body });
+    }
+
+    pub(super) fn direct_reply(
+        &mut self,
+        machine: &str,
+        starts: &[Key],
+        term: u64,
+        reply: DirectReply,
+    ) {
+        let s = self.seat_of_machine(machine);
+        if self.seats[s].mine.as_ref().is_none_or(|m| m.term != term) {
+            return;
+        }
+        let now = self.now;
+        let Some(post) = self.posts.get_mut(machine) else {
+            return;
+        };
+        let (executed, body) = match reply {
+            DirectReply::Answered { status: 200, body } => (Some(true), Some(body)),
+            DirectReply::Answered { status: 400..=499, body } => (Some(false), Some(body)),
+            DirectReply::Answered { .. } | DirectReply::Unknown => (None, None),
+            DirectReply::NotSent => (Some(false), None),
+        };
+        post.direct_ended(starts, executed);
+        if executed != Some(true) {
+            // Its reports carry the commands meanwhile.
+            post.direct_after = now + Micros::secs(5);
+        }
+        let report = body.and_then(|b| serde_json::from_slice::<Report>(&b).ok());
+        if let Some(report) = report.filter(|r| r.machine == machine && r.token <= term)
+            && let Some(outcomes) = post.take_report(now, &report, term, false)
+        {
+            self.note_outcomes(machine, outcomes);
+        }
+        self.push(machine);
+        self.dirty_posts.insert(machine.to_string());
+    }
+
+    /// Looks for machines that have been silent for longer than a lease.
+    pub(super) fn tend_posts(&mut self) {
+        if !self.acting() {
+            return;
+        }
+        let (now, lease) = (self.now, self.worker_lease());
+        let taken: Vec<Option<Micros>> =
+            self.seats.iter().map(|s| s.mine.as_ref().map(|m| m.taken)).collect();
+        let mut changed = Vec::new();
+        let seats = self.seats.len();
+        for (name, post) in &mut self.posts {
+            let Some(Some(taken)) = taken.get(super::seat::seat_of_machine(name, seats)) else {
+                continue;
+            };
+            let base = post.answered.unwrap_or(*taken).max(*taken);
+            if post.tend(now, base, lease) {
+                info!("machine {name} has been silent for a whole lease");
+                changed.push(name.clone());
+            } else if post.heard.is_some() && !post.tasks.is_empty() | !post.sent.is_empty() {
+                changed.push(name.clone());
+            }
+        }
+        // Health depends on time; views that stay the same are not sent.
+        self.dirty_posts.extend(changed);
+    }
+
+    /// Sends the views that have changed, to the own owner hat first.
+    pub(super) fn send_views(&mut self, frame: &mut Frame) {
+        for machine in std::mem::take(&mut self.dirty_posts) {
+            let s = self.seat_of_machine(&machine);
+            let Some(term) = self.my_term(s) else {
+                continue;
+            };
+            if self.posts.get(&machine).is_some_and(|p| p.known && !p.direct_busy) {
+                self.push(&machine);
+            }
+            let mut view = self.view_of(&machine, term);
+            let Some(post) = self.posts.get_mut(&machine) else {
+                continue;
+            };
+            if let Some(old) = self.views.get(&machine) {
+                let old_notice = old.notice_ms;
+                view.seq = old.seq;
+                // A notice runs down by itself; only its coming is news.
+                let notice = view.notice_ms;
+                if notice.is_some() && old_notice.is_some() {
+                    view.notice_ms = old_notice;
+                }
+                if view == *old {
+                    continue;
+                }
+                view.notice_ms = notice;
+            }
+            post.view_seq += 1;
+            view.seq = post.view_seq;
+            frame.views.push(view.clone());
+            self.see_view(view);
+        }
+    }
+
+    fn view_of(&self, machine: &str, term: u64) -> MachineView {
+        let Some(post) = self.posts.get(machine) else {
+            return MachineView::default();
+        };
+        let silent = Micros::from_secs_f64(self.settings.workers.report_s * 2.0 + 1.0);
+        let fresh = post.heard.is_some_and(|at| self.now.since(at) < silent);
+        let faulty = post.failures >= MACHINE_FAULTY && post.failed_jobs.len() > 1;
+        let heard = self
+            .wants
+            .iter()
+            .enumerate()
+            .filter(|(_, w)| w.complete > 0)
+            .map(|(n, w)| Heard {
+                seat: n as u32,
+                term: w.term,
+                seq: w.machines.get(machine).map_or(0, |(seq, _)| *seq).max(w.complete),
+            })
+            .collect();
+        MachineView {
+            machine: machine.to_string(),
+            term,
+            seq: 0,
+            known: post.known,
+            session: post.session,
+            over_through: post.over_through,
+            vanished: post.vanished,
+            machine_type: post.machine_type.clone(),
+            zone: post.zone.clone(),
+            spot: post.spot,
+            address: post.address.map(|a| a.to_string()).unwrap_or_default(),
+            notice_ms: post.taken_at.map(|at| at.since(self.now).as_millis()),
+            healthy: fresh && !faulty,
+            tasks: post.seen_tasks(),
+            heard,
+            faulty,
+        }
+    }
+}
--- /dev/null
+++ b/src/controller/image.rs
@@ -0,0 +1,80 @@
+//! Which machines hold which images, as far as this controller has heard.
+//!
+//! Kept in memory only: a lost entry costs one fetch. Entries belong to a
+//! machine's session, so that a machine that began anew stops matching.
+
+use crate::time::Micros;
+use std::collections::{BTreeMap, HashMap};
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    session: u64,
+    at: Micros,
+    stamp: u64,
+}
+
+/// The index, bounded in entries and in age.
+#[derive(Debug)]
+pub struct ImageIndex {
+    images: HashMap<String, BTreeMap<String, Entry>>,
+    /// Oldest first, to find what must go when the index is full.
+    order: BTreeMap<u64, (String, String)>,
+    next: u64,
+    most: usize,
+    age: Micros,
+}
+
+impl ImageIndex {
+    /// An empty index.
+    pub fn new(most: usize, age: Micros) -> ImageIndex {
+        ImageIndex { images: HashMap::new(), order: BTreeMap::new(), next: 0, most, age }
+    }
+
+    /// Notes that a machine has, or is about to fetch, an image.
+    pub fn note(&mut self, now: Micros, image: &str, machine: &str, session: u64) {
+        if let Some(e) = self.images.get_mut(image).and_then(|m| m.get_mut(machine))
+            && e.session == session
+            && now.since(e.at) < Micros::secs(1)
+        {
+            // Just noted: reports repeat themselves every few seconds.
+            return;
+        }
+        let stamp = self.next;
+        self.next += 1;
+        let entry = Entry { session, at: now, stamp };
+        let holders = self.images.entry(image.to_string()).or_default();
+        if let Some(old) = holders.insert(machine.to_string(), entry) {
+            self.order.remove(&old.stamp);
+        }
+        self.order.insert(stamp, (image.to_string(), machine.to_string()));
+        while self.order.len() > self.most {
+            let Some((_, (image, machine))) = self.order.pop_first() else {
+                return;
+            };
+            if let Some(holders) = self.images.get_mut(&image) {
+                holders.remove(&machine);
+                if holders.is_empty() {
+                    self.images.remove(&image);
+                }
+            }
+        }
+    }
+
+    /// True if the machine holds the image in its present session.
+    pub fn holds(&self, now: Micros, image: &str, machine: &str, session: u64) -> bool {
+        self.images
+            .get(image)
+            .and_then(|m| m.get(machine))
+            .is_some_and(|e| e.session == session && now.since(e.at) <= self.age)
+    }
+
+    /// Number of entries.
+    pub fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    /// True if there are none.
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+}
--- /dev/null
+++ b/src/controller/job.rs
@@ -0,0 +1,411 @@
+//! Jobs and their tasks, as their seat keeps them.
+//!
+//! `j/REF` is tiny and permanent: seat and stage. `w/S/REF/n` holds a part of
+//! the tasks each, and the description in part 0; it goes when the job is over.
+//! A part's version counts its changes; what is newer than the stored version
+//! has not been written yet and nobody may act on it.
+
+use crate::peer::Seen;
+use crate::time::Micros;
+use crate::wire::{JobSpec, Priority};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// Value of `j/REF`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Seat that accepted it.
+    #[serde(rename = "s")]
+    pub seat: usize,
+    /// Stage.
+    #[serde(rename = "g")]
+    pub stage: StoredStage,
+    /// Number of tasks, which a done job still tells.
+    #[serde(rename = "n", default)]
+    pub tasks: u32,
+}
+
+/// Stage of a job in the state service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoredStage {
+    /// Accepted, and neither done nor cancelled.
+    #[serde(rename = "a")]
+    Accepted,
+    /// All tasks have completed.
+    #[serde(rename = "d")]
+    Done,
+    /// Cancelled by its user.
+    #[serde(rename = "c")]
+    Cancelled,
+}
+
+/// Key of a job's record.
+pub fn job_key(id: &str) -> String {
+    format!("j/{id}")
+}
+
+/// Key of a part of a job's tasks.
+pub fn part_key(seat: usize, id: &str, part: usize) -> String {
+    format!("w/{seat}/{id}/{part}")
+}
+
+/// Job and part of a key under `w/S/`.
+pub fn parse_part_key(key: &str) -> Option<(&str, usize)> {
+    let mut fields = key.split('/').skip(2);
+    let id = fields.next()?;
+    let part = fields.next()?.parse().ok()?;
+    Some((id, part))
+}
+
+/// Bytes that a part's value takes beside its placements and description.
+const PART_OVERHEAD: usize = 1_200;
+/// Bytes that a placement takes at most, with the longest names accepted.
+const PLACEMENT_BYTES: usize = 56;
+/// Longest description that fits in part 0.
+pub const MAX_SPEC_BYTES: usize = 1_400;
+
+/// Tasks in a part, so that every state of it fits in a value.
+pub fn part_size(value_kb: f64) -> u32 {
+    let bytes = (value_kb * 1024.0) as usize;
+    let room = bytes.saturating_sub(PART_OVERHEAD + MAX_SPEC_BYTES);
+    ((room / PLACEMENT_BYTES) as u32).clamp(1, 512)
+}
+
+/// Where a task was put.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Placement {
+    /// Machine.
+    pub machine: Rc<str>,
+    /// Its session.
+    pub session: u64,
+    /// Attempt.
+    pub attempt: u64,
+    /// Version of the part that first holds it: it is acted on once that is stored.
+    pub version: u64,
+    /// When it was decided.
+    pub at: Micros,
+    /// Zone, for `together` and `apart`.
+    pub zone: Rc<str>,
+    /// It is to be stopped, with this time to save.
+    pub stop: Option<Micros>,
+    /// Number of the wants message that asked for the stop.
+    pub stop_seq: Option<u64>,
+    /// How it was last seen.
+    pub seen: Option<Seen>,
+    /// Since when it runs.
+    pub running_since: Option<Micros>,
+}
+
+/// A part of a job's tasks.
+#[derive(Debug, Clone, Default)]
+pub struct Part {
+    /// Tasks to be placed.
+    pub pending: BTreeSet<u32>,
+    /// Tasks on machines, or about to be.
+    pub placed: BTreeMap<u32, Placement>,
+    /// Ended attempts whose end is not stored yet, with the version that will.
+    pub releasing: Vec<(u64, u32, Placement)>,
+    /// Tasks that have completed.
+    pub done: BTreeSet<u32>,
+    /// Highest attempt given out; one counter for all tasks of the part.
+    pub attempt: u64,
+    /// Version in memory.
+    pub version: u64,
+    /// Version in the state service.
+    pub stored: u64,
+    /// Revision of its key, 0 while it has none.
+    pub mark: u64,
+}
+
+#[derive(Serialize, Deserialize)]
+struct StoredPart {
+    /// Version.
+    v: u64,
+    /// Highest attempt.
+    a: u64,
+    /// Ranges of completed tasks.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    d: Vec<(u32, u32)>,
+    /// Placements: task, machine, session, attempt, zone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    p: Vec<(u32, String, u64, u64, String)>,
+    /// Description, in part 0.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    s: Option<JobSpec>,
+    /// Time of day of the acceptance, in part 0.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    t: Option<u64>,
+    /// Tasks in a part, in part 0: the settings may change between runs.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    z: Option<u32>,
+}
+
+/// A job that one of this process's seats runs.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Description.
+    pub spec: Rc<JobSpec>,
+    /// Seat.
+    pub seat: usize,
+    /// Version of `j/REF`.
+    pub mark: u64,
+    /// Time of day of the acceptance, by the accepting node.
+    pub accepted: Micros,
+    /// Its tasks.
+    pub parts: Vec<Part>,
+    /// Tasks in a part.
+    pub part_size: u32,
+    /// Its user cancelled it.
+    pub cancelled: bool,
+    /// It is over in the state service; its parts remain to be dropped.
+    pub over: bool,
+    /// A transaction of it is under way.
+    pub busy: bool,
+    /// Nothing is written or placed before this.
+    pub not_before: Micros,
+    /// Failures in a row, over all machines.
+    pub failures: u32,
+    /// Machines on which its tasks failed.
+    pub avoid: BTreeSet<Rc<str>>,
+    /// Why it waits, for the queue page.
+    pub waits: &'static str,
+    /// Run times of its completed tasks.
+    pub run_times: Vec<Micros>,
+}
+
+impl Job {
+    /// A job with nothing placed.
+    pub fn new(
+        spec: Rc<JobSpec>,
+        seat: usize,
+        mark: u64,
+        accepted: Micros,
+        part_size: u32,
+    ) -> Job {
+        let tasks = spec.tasks;
+        let count = tasks.div_ceil(part_size);
+        let parts = (0..count)
+            .map(|n| Part {
+                pending: (n * part_size..((n + 1) * part_size).min(tasks)).collect(),
+                ..Part::default()
+            })
+            .collect();
+        Job {
+            spec,
+            seat,
+            mark,
+            accepted,
+            parts,
+            part_size,
+            cancelled: false,
+            over: false,
+            busy: false,
+            not_before: Micros::ZERO,
+            failures: 0,
+            avoid: BTreeSet::new(),
+            waits: "new",
+            run_times: Vec::new(),
+        }
+    }
+
+    /// The value of a part as it stands.
+    pub fn encode_part(&self, n: usize) -> Value {
+        let part = &self.parts[n];
+        let mut d: Vec<(u32, u32)> = Vec::new();
+        for i in &part.done {
+            match d.last_mut() {
+                Some((_, to)) if *to + 1 == *i => *to = *i,
+                _ => d.push((*i, *i)),
+            }
+        }
+        let p = part
+            .placed
+            .iter()
+            .map(|(i, p)| (*i, p.machine.to_string(), p.session, p.attempt, p.zone.to_string()))
+            .collect();
+        let stored = StoredPart {
+            v: part.version,
+            a: part.attempt,
+            d,
+            p,
+            s: (n == 0).then(|| (*self.spec).clone()),
+            t: (n == 0).then_some(self.accepted.0),
+            z: (n == 0).then_some(self.part_size),
+        };
+        // Numbers, texts and lists always have a JSON form.
+        serde_json::to_value(stored).unwrap_or_default()
+    }
+
+    /// Rebuilds a job from its stored parts; `None` without part 0, which
+    /// is written with the acceptance and dropped last.
+    pub fn restore(
+        now: Micros,
+        seat: usize,
+        mark: u64,
+        part_size: u32,
+        stored: &BTreeMap<usize, (Value, u64)>,
+    ) -> Option<Job> {
+        let first: StoredPart = serde_json::from_value(stored.get(&0)?.0.clone()).ok()?;
+        let spec = Rc::new(first.s?);
+        let part_size = first.z.unwrap_or(part_size).max(1);
+        let mut job = Job::new(spec, seat, mark, Micros(first.t.unwrap_or(0)), part_size);
+        for (n, (value, mark)) in stored {
+            let read: StoredPart = serde_json::from_value(value.clone()).ok()?;
+            let part = job.parts.get_mut(*n)?;
+            part.attempt = read.a;
+            part.version = read.v;
+            part.stored = read.v;
+            part.mark = *mark;
+            for (from, to) in read.d {
+                for i in from..=to {
+                    if part.pending.remove(&i) {
+                        part.done.insert(i);
+                    }
+                }
+            }
+            for (i, machine, session, attempt, zone) in read.p {
+                if part.pending.remove(&i) {
+                    let placement = Placement {
+                        machine: machine.into(),
+                        session,
+                        attempt,
+                        version: read.v,
+                        at: now,
+                        zone: zone.into(),
+                        stop: None,
+                        stop_seq: None,
+                        seen: None,
+                        running_since: None,
+                    };
+                    part.placed.insert(i, placement);
+                }
+            }
+        }
+        Some(job)
+    }
+
+    /// The part of a task.
+    pub fn part_of(&mut self, index: u32) -> Option<&mut Part> {
+        self.parts.get_mut((index / self.part_size) as usize)
+    }
+
+    /// Tasks that have completed.
+    pub fn done(&self) -> u32 {
+        self.parts.iter().map(|p| p.done.len() as u32).sum()
+    }
+
+    /// Tasks seen running.
+    pub fn running(&self) -> u32 {
+        let runs = |p: &&Placement| matches!(p.seen, Some(Seen::Running | Seen::Saving));
+        self.parts.iter().map(|p| p.placed.values().filter(runs).count() as u32).sum()
+    }
+
+    /// Tasks to be placed.
+    pub fn pending(&self) -> u32 {
+        self.parts.iter().map(|p| p.pending.len() as u32).sum()
+    }
+
+    /// Tasks that count against the team's limit.
+    pub fn booked(&self) -> u32 {
+        self.parts.iter().map(|p| p.placed.len() as u32).sum()
+    }
+
+    /// The first task to be placed.
+    pub fn first_pending(&self) -> Option<u32> {
+        self.parts.iter().find_map(|p| p.pending.first().copied())
+    }
+
+    /// True once every task has completed.
+    pub fn complete(&self) -> bool {
+        self.parts.iter().all(|p| p.pending.is_empty() && p.placed.is_empty())
+    }
+
+    /// Puts a task on a machine, in memory; returns the attempt.
+    pub fn put(
+        &mut self,
+        now: Micros,
+        index: u32,
+        machine: &str,
+        session: u64,
+        zone: &str,
+    ) -> Option<u64> {
+        let part = self.part_of(index)?;
+        if !part.pending.remove(&index) {
+            return None;
+        }
+        part.version += 1;
+        part.attempt += 1;
+        let (attempt, version) = (part.attempt, part.version);
+        part.placed.insert(
+            index,
+            Placement {
+                machine: machine.into(),
+                session,
+                attempt,
+                version,
+                at: now,
+                zone: zone.into(),
+                stop: None,
+                stop_seq: None,
+                seen: None,
+                running_since: None,
+            },
+        );
+        Some(attempt)
+    }
+
+    /// Ends a task's attempt, in memory. The attempt stays among the wants,
+    /// and so uncleared, until the end is stored.
+    pub fn end(&mut self, index: u32, done: bool) -> Option<Placement> {
+        let part = self.part_of(index)?;
+        let placement = part.placed.remove(&index)?;
+        part.version += 1;
+        part.releasing.push((part.version, index, placement.clone()));
+        if done {
+            part.done.insert(index);
+        } else {
+            part.pending.insert(index);
+        }
+        Some(placement)
+    }
+
+    /// Rank of service: lower is more urgent.
+    pub fn rank(&self) -> u32 {
+        match self.spec.priority {
+            Priority::Production => 0,
+            Priority::High => 1,
+            Priority::Normal => 2,
+            Priority::Low => 3,
+        }
+    }
+
+    /// Time of day of the deadline.
+    pub fn due(&self) -> Micros {
+        self.spec
+            .deadline_s
+            .map_or(Micros::FAR, |d| self.accepted + Micros::from_secs_f64(d))
+    }
+
+    /// Tasks per zone, for `together` and `apart`.
+    pub fn zones(&self) -> BTreeMap<Rc<str>, u32> {
+        let mut zones = BTreeMap::new();
+        for p in self.parts.iter().flat_map(|p| p.placed.values()) {
+            *zones.entry(Rc::clone(&p.zone)).or_insert(0) += 1;
+        }
+        zones
+    }
+
+    /// True if one more task may go to `zone`, given the others.
+    pub fn zone_allows(&self, zones: &BTreeMap<Rc<str>, u32>, zone: &str) -> bool {
+        if self.spec.zone.as_deref().is_some_and(|z| z != zone) {
+            return false;
+        }
+        if self.spec.one_zone && zones.keys().any(|z| &**z != zone) {
+            return false;
+        }
+        let there = zones.get(zone).copied().unwrap_or(0);
+        !self.spec.spread || there < self.spec.tasks.div_ceil(2)
+    }
+}
--- /dev/null
+++ b/src/controller/machine.rs
@@ -0,0 +1,276 @@
+//! What a machine's seat knows of it: its reports, what was sent, what may
+//! still be under way.
+
+use crate::peer::{Seen, SeenTask};
+use crate::time::Micros;
+use crate::wire::{Cause, Command, Report, TaskState};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+
+/// A task's attempt.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key {
+    /// Job.
+    pub job: String,
+    /// Task.
+    pub index: u32,
+    /// Attempt.
+    pub attempt: u64,
+}
+
+impl Key {
+    /// The protocol's name of the task.
+    pub fn task(&self) -> String {
+        format!("{}/{}", self.job, self.index)
+    }
+
+    /// Reads the protocol's name of a task.
+    pub fn parse(task: &str, attempt: u64) -> Option<Key> {
+        let (job, index) = task.split_once('/')?;
+        Some(Key { job: job.to_string(), index: index.parse().ok()?, attempt })
+    }
+}
+
+/// A start that was sent and is not in a report yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Sent {
+    /// It was in the answer to the newest report, which the worker may still take.
+    pub answered: bool,
+    /// Direct commands with it that have not been answered.
+    pub direct: u32,
+    /// A direct command with it got no answer: it may be executed as long as
+    /// token and session match.
+    pub late: bool,
+}
+
+impl Sent {
+    /// True if the worker may still begin it.
+    pub fn open(self) -> bool {
+        self.answered || self.direct > 0 || self.late
+    }
+}
+
+/// What a report has shown to be so, for the statistics of a machine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// A task completed.
+    Done(Key),
+    /// A task failed.
+    Failed(Key),
+}
+
+/// A machine, as its seat knows it under the present term.
+#[derive(Debug, Clone, Default)]
+pub struct Post {
+    /// Session of the newest report, 0 before the first.
+    pub session: u64,
+    /// Number of the newest message of that session.
+    pub seq: u64,
+    /// It has reported under this term: nothing older can reach it any more.
+    pub known: bool,
+    /// Sessions up to this one are surely over.
+    pub over_through: u64,
+    /// It never reported under this term, and by now every earlier session is over.
+    pub vanished: bool,
+    /// When a report was last answered with 200.
+    pub answered: Option<Micros>,
+    /// When a report last arrived.
+    pub heard: Option<Micros>,
+    /// Tasks in the newest report.
+    pub tasks: BTreeMap<Key, Seen>,
+    /// Starts that were sent and not reported yet.
+    pub sent: BTreeMap<Key, Sent>,
+    /// Attempts in reports that a direct command without an answer may still
+    /// start: clearing them would let that command start them again.
+    pub late: BTreeSet<Key>,
+    /// Starts that found no room. They are never sent.
+    pub refused: BTreeSet<Key>,
+    /// Starts that wait for a stopping task's room.
+    pub waiting: BTreeSet<Key>,
+    /// Type.
+    pub machine_type: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot machine.
+    pub spot: bool,
+    /// Address for direct commands.
+    pub address: Option<SocketAddrV4>,
+    /// When the cloud takes it.
+    pub taken_at: Option<Micros>,
+    /// Jobs whose tasks failed here since the last success.
+    pub failed_jobs: BTreeSet<String>,
+    /// Failures since the last success.
+    pub failures: u32,
+    /// Order of views.
+    pub view_seq: u64,
+    /// After a direct command that failed, none before this.
+    pub direct_after: Micros,
+    /// Tasks whose stop was sent directly; reports repeat it if need be.
+    pub pushed: BTreeSet<Key>,
+    /// Direct commands under way.
+    pub direct_busy: bool,
+}
+
+impl Post {
+    /// Forgets what belonged to a session that is over.
+    fn end_session(&mut self) {
+        self.tasks.clear();
+        self.sent.clear();
+        self.late.clear();
+        self.refused.clear();
+        self.waiting.clear();
+        self.pushed.clear();
+        self.seq = 0;
+    }
+
+    /// Takes in a report that came as such (`answerable`) or in the answer to
+    /// a direct command; `None` if it is older than what is known, or of a
+    /// session that is over.
+    ///
+    /// Only what came as a report shows that the answer to the one before was
+    /// either executed or dropped: the worker has one report under way at a time.
+    pub fn take_report(
+        &mut self,
+        now: Micros,
+        report: &Report,
+        term: u64,
+        answerable: bool,
+    ) -> Option<Vec<Outcome>> {
+        if report.session <= self.over_through
+            || report.session < self.session
+            || (report.session == self.session && report.seq <= self.seq)
+        {
+            return None;
+        }
+        if report.session > self.session {
+            self.end_session();
+            self.session = report.session;
+            // The worker has begun a new session, so the earlier ones are over.
+            self.over_through = self.over_through.max(report.session - 1);
+            self.known = false;
+        }
+        self.seq = report.seq;
+        self.heard = Some(now);
+        self.vanished = false;
+        self.machine_type.clone_from(&report.machine_type);
+        self.zone.clone_from(&report.zone);
+        self.spot = report.spot;
+        self.address = report.address.parse().ok();
+        self.taken_at = report.notice_s.map(|s| now + Micros::from_secs_f64(s));
+        // A report that has not seen this term's token may be followed by
+        // commands of an earlier holder: its list proves no absence.
+        if report.token < term {
+            return Some(Vec::new());
+        }
+        self.known = true;
+        let mut outcomes = Vec::new();
+        let mut tasks = BTreeMap::new();
+        for t in &report.tasks {
+            let Some(key) = Key::parse(&t.task, t.attempt) else {
+                log::warn!("{} reports a task of unknown form", report.machine);
+                continue;
+            };
+            let seen = seen(t.state, t.cause);
+            if self.tasks.get(&key).is_none_or(|old| !old.over()) {
+                match seen {
+                    Seen::Done => outcomes.push(Outcome::Done(key.clone())),
+                    Seen::Failed if t.cause != Some(Cause::Unknown) => {
+                        outcomes.push(Outcome::Failed(key.clone()))
+                    }
+                    _ => {}
+                }
+            }
+            if let Some(s) = self.sent.remove(&key)
+                && (s.late || s.direct > 0)
+            {
+                self.late.insert(key.clone());
+            }
+            self.refused.remove(&key);
+            self.waiting.remove(&key);
+            tasks.insert(key, seen);
+        }
+        self.tasks = tasks;
+        self.late.retain(|k| self.tasks.contains_key(k));
+        self.pushed.retain(|k| self.tasks.contains_key(k));
+        if answerable {
+            for s in self.sent.values_mut() {
+                s.answered = false;
+            }
+        }
+        Some(outcomes)
+    }
+
+    /// Silence for longer than any lease: what ran there is gone. `base` is the
+    /// last moment at which anybody may have answered a report.
+    pub fn tend(&mut self, now: Micros, base: Micros, lease: Micros) -> bool {
+        if now <= base + lease {
+            return false;
+        }
+        if self.session > self.over_through {
+            self.over_through = self.session;
+            self.known = false;
+            self.end_session();
+            return true;
+        }
+        if self.session == 0 && !self.vanished {
+            self.vanished = true;
+            return true;
+        }
+        false
+    }
+
+    /// Tasks for the view.
+    pub fn seen_tasks(&self) -> Vec<SeenTask> {
+        let seen = |k: &Key, s: Seen| SeenTask {
+            job: k.job.clone(),
+            index: k.index,
+            attempt: k.attempt,
+            seen: s as i32,
+        };
+        let mut list: Vec<SeenTask> = self.tasks.iter().map(|(k, s)| seen(k, *s)).collect();
+        list.extend(self.sent.keys().map(|k| seen(k, Seen::Sent)));
+        list.extend(self.waiting.iter().map(|k| seen(k, Seen::Waiting)));
+        list.extend(self.refused.iter().map(|k| seen(k, Seen::Refused)));
+        list
+    }
+
+    /// Takes in the end of a direct command: `executed` is `None` if unknown.
+    pub fn direct_ended(&mut self, starts: &[Key], executed: Option<bool>) {
+        self.direct_busy = false;
+        for key in starts {
+            if let Some(s) = self.sent.get_mut(key) {
+                s.direct = s.direct.saturating_sub(1);
+                s.late |= executed.is_none();
+            } else if executed.is_some() {
+                self.late.remove(key);
+            }
+        }
+    }
+}
+
+fn seen(state: TaskState, cause: Option<Cause>) -> Seen {
+    match (state, cause) {
+        (TaskState::Fetching, _) => Seen::Fetching,
+        (TaskState::Running, _) => Seen::Running,
+        (TaskState::Saving, _) => Seen::Saving,
+        (TaskState::Exited, Some(Cause::Done)) => Seen::Done,
+        (TaskState::Exited, Some(Cause::Stopped)) => Seen::Stopped,
+        (TaskState::Exited, Some(Cause::NoRoom | Cause::Busy)) => Seen::Refused,
+        (TaskState::Exited, _) => Seen::Failed,
+    }
+}
+
+/// A start.
+pub fn start(key: &Key) -> Command {
+    Command::Start { task: key.task(), attempt: key.attempt }
+}
+
+/// A stop.
+pub fn stop(key: &Key, grace: Micros) -> Command {
+    Command::Stop { task: key.task(), attempt: key.attempt, grace_s: grace.as_secs_f64() }
+}
+
+/// Removal of an exited task.
+pub fn forget(key: &Key) -> Command {
+    Command::Forget { task: key.task(), attempt: key.attempt }
+}
--- /dev/null
+++ b/src/controller/mod.rs
@@ -0,0 +1,798 @@
+//! The controller: (now, event) in, effects out. No I/O, no clock, ordered
+//! maps and a seeded generator, so that a run can be repeated exactly.
+//!
+//! A process wears up to three hats, each in a module of its own: it answers
+//! users ([`api`]), runs the jobs of its seats ([`owner`], [`placer`]) and
+//! commands the machines of its seats ([`holder`]). What it wants on machines
+//! goes out as whole-state messages that its own holder hat reads too.
+
+pub mod fleet;
+pub mod image;
+pub mod job;
+pub mod machine;
+pub mod place;
+pub mod quota;
+pub mod seat;
+
+mod api;
+mod holder;
+mod owner;
+mod placer;
+mod quotas;
+mod renter;
+mod seats;
+
+use crate::cloud::{CloudCall, CloudReply};
+use crate::config::{Config, Options, Settings};
+use crate::peer::{self, Frame, MachineView, SeatWants, WantedTask};
+use crate::state::{StateCall, StateReply};
+use crate::time::Micros;
+use crate::wire::{JobSpec, JobStage, MachineType};
+use fleet::Fleet;
+use image::ImageIndex;
+use job::{Job, StoredStage};
+use machine::{Key, Post};
+use quota::TeamQuota;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use seat::{Lease, Seat};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+/// A request that awaits its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// A call to an outside system.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// What became of direct commands.
+#[derive(Debug, Clone, PartialEq)]
+pub enum DirectReply {
+    /// The worker answered.
+    Answered {
+        /// Status.
+        status: u16,
+        /// Body.
+        body: Vec<u8>,
+    },
+    /// Surely not executed.
+    NotSent,
+    /// May have been executed, or may still be.
+    Unknown,
+}
+
+/// The end of a call.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Reply {
+    /// The state service's.
+    State(StateReply),
+    /// The cloud's.
+    Cloud(CloudReply),
+    /// A worker's.
+    Direct(DirectReply),
+}
+
+/// Something that happened.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// A user, worker or prober asks.
+    Http {
+        /// Goes with the answer.
+        ticket: Ticket,
+        /// Method.
+        method: String,
+        /// Path with its query.
+        path: String,
+        /// Body.
+        body: Vec<u8>,
+    },
+    /// A call ended.
+    Reply {
+        /// The call.
+        id: CallId,
+        /// How.
+        reply: Reply,
+    },
+    /// A peer sent a frame.
+    Peer {
+        /// Number of the member.
+        from: usize,
+        /// The frame.
+        frame: Frame,
+    },
+    /// A new connection to a peer stands: it has heard nothing on it yet.
+    PeerUp(usize),
+    /// The connection to a peer is gone.
+    PeerDown(usize),
+    /// Time has passed.
+    Tick,
+}
+
+/// Something to be done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Answer a request.
+    Respond {
+        /// The request.
+        ticket: Ticket,
+        /// Status.
+        status: u16,
+        /// Seconds after which to ask again.
+        retry_after: Option<u64>,
+        /// JSON.
+        body: Vec<u8>,
+    },
+    /// Call the state service.
+    State {
+        /// Goes with the reply.
+        id: CallId,
+        /// The call.
+        call: StateCall,
+    },
+    /// Call the cloud.
+    Cloud {
+        /// Goes with the reply.
+        id: CallId,
+        /// The call.
+        call: CloudCall,
+    },
+    /// Send direct commands to a worker.
+    Direct {
+        /// Goes with the reply.
+        id: CallId,
+        /// The worker.
+        address: SocketAddrV4,
+        /// JSON.
+        body: Vec<u8>,
+    },
+    /// Send a frame to a peer.
+    Peer {
+        /// Number of the member.
+        to: usize,
+        /// The frame.
+        frame: Frame,
+    },
+}
+
+/// Which changes a watch follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Watch {
+    Jobs,
+    Holds,
+    Quotas,
+}
+
+/// What a call was for.
+#[derive(Debug, Clone)]
+enum Op {
+    Grant { sent: Micros },
+    Extend { sent: Micros, epoch: u64 },
+    ListHolds,
+    ListTerms,
+    Follow(Watch),
+    FollowStart(Watch),
+    Take { seat: usize, term: u64, epoch: u64 },
+    Release { seat: usize },
+    Load { seat: usize, term: u64 },
+    LoadJob { seat: usize, term: u64, job: String },
+    Submit { ticket: Ticket, spec: Rc<JobSpec>, seat: usize, term: u64, accepted: Micros },
+    SubmitRead { ticket: Ticket, job: String, otherwise: (u16, Option<u64>, Vec<u8>) },
+    Poll { ticket: Ticket, job: String },
+    CancelRead { ticket: Ticket, job: String, tries: u32 },
+    CancelWrite { ticket: Ticket, job: String, seat: usize, tasks: u32, tries: u32 },
+    Store { job: String, term: u64, parts: Vec<(usize, u64)>, done: bool, drops: Vec<usize> },
+    Recheck { job: String, term: u64 },
+    RecheckParts { job: String, term: u64 },
+    QuotaList,
+    QuotaRead { team: String },
+    QuotaWrite { team: String, value: Value },
+    Direct { machine: String, starts: Vec<Key>, term: u64 },
+    Types,
+    Rent { term: u64 },
+    Return { names: Vec<String> },
+    ListMachines { asked: Micros, term: u64 },
+}
+
+/// Wants of a seat, as heard.
+#[derive(Debug, Clone, Default)]
+struct HeardWants {
+    term: u64,
+    /// Newest message of the term.
+    seq: u64,
+    /// Newest message that named all machines; 0: none yet in this term.
+    complete: u64,
+    machines: BTreeMap<String, (u64, Vec<WantedTask>)>,
+}
+
+/// Another controller, as heard.
+#[derive(Debug, Clone, Default)]
+struct PeerInfo {
+    heard: Option<Micros>,
+    well_since: Option<Micros>,
+    state_ok: bool,
+    run: u64,
+    demand: Vec<peer::Demand>,
+    needs: Vec<peer::QuotaNeed>,
+}
+
+/// What is known of a job's stage from the state service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Known {
+    stage: StoredStage,
+    seat: usize,
+    tasks: u32,
+}
+
+/// Counters for the status page.
+#[derive(Debug, Clone, Default)]
+struct Counts {
+    accepted: u64,
+    refused: u64,
+    done: u64,
+    cancelled: u64,
+    placed: u64,
+    image_hits: u64,
+    failed: u64,
+    lost: u64,
+    preempted: u64,
+    reports: u64,
+    bad_reports: u64,
+}
+
+/// Jobs whose final stage is remembered in memory; older ones are read again.
+const KNOWN_JOBS: usize = 40_000;
+/// A peer that has been silent for longer does not count as alive.
+const PEER_SILENT: Micros = Micros::secs(3);
+
+/// All of a controller's state.
+pub struct Controller {
+    member: String,
+    me: usize,
+    members: Vec<String>,
+    run: u64,
+    settings: Settings,
+    options: Options,
+    rng: StdRng,
+    wall: Micros,
+    now: Micros,
+    out: Vec<Effect>,
+    next_call: u64,
+    ops: BTreeMap<CallId, Op>,
+
+    lease: Lease,
+    seats: Vec<Seat>,
+    seats_read: bool,
+    seats_reading: bool,
+    loads: BTreeMap<usize, seats::Loading>,
+    follow: BTreeMap<Watch, seats::Following>,
+
+    types: BTreeMap<String, MachineType>,
+    known: BTreeMap<String, Known>,
+    known_order: VecDeque<String>,
+    jobs: BTreeMap<String, Job>,
+    progress: BTreeMap<String, (u32, u32)>,
+    /// Own seats' tasks by seat and machine.
+    by_machine: BTreeMap<(usize, Rc<str>), BTreeSet<(String, u32)>>,
+    part_size: u32,
+    submissions: usize,
+
+    wants: Vec<HeardWants>,
+    views: BTreeMap<String, MachineView>,
+    posts: BTreeMap<String, Post>,
+    gone: BTreeSet<String>,
+    draining: BTreeSet<String>,
+    images: ImageIndex,
+    quotas: BTreeMap<String, TeamQuota>,
+    quotas_read: bool,
+    peers: BTreeMap<usize, PeerInfo>,
+    fleet: Fleet,
+    counts: Counts,
+
+    seq: u64,
+    dirty_jobs: BTreeSet<String>,
+    dirty_wants: BTreeSet<(usize, Rc<str>)>,
+    complete_wants: BTreeSet<usize>,
+    dirty_posts: BTreeSet<String>,
+    dirty_progress: BTreeSet<String>,
+    note_cancelled: Vec<String>,
+    note_gone: Vec<String>,
+    note_preempt: Vec<peer::SeenTask>,
+    sync_peers: BTreeSet<usize>,
+    place_wanted: bool,
+    placed_at: Micros,
+    beat_at: Micros,
+    tend_at: Micros,
+    demand_at: Micros,
+    quota_at: Micros,
+}
+
+impl Controller {
+    /// A controller that has just started.
+    ///
+    /// `wall` is the time of day at the zero of the steady clock: deadlines
+    /// must outlive the process that accepted them.
+    pub fn new(config: &Config, options: Options, seed: u64, wall: Micros) -> Controller {
+        let members = config.members();
+        let me = members.iter().position(|m| *m == config.member).unwrap_or(0);
+        let count = members.len();
+        let quotas = config
+            .settings
+            .teams
+            .iter()
+            .map(|t| (t.name.clone(), TeamQuota::new(t)))
+            .collect();
+        let peers = (0..count).filter(|n| *n != me).map(|n| (n, PeerInfo::default())).collect();
+        Controller {
+            member: config.member.clone(),
+            me,
+            members,
+            // Zero stands for no run.
+            run: seed.max(1),
+            settings: config.settings.clone(),
+            rng: StdRng::seed_from_u64(seed),
+            wall,
+            now: Micros::ZERO,
+            out: Vec::new(),
+            next_call: 1,
+            ops: BTreeMap::new(),
+            lease: Lease::default(),
+            seats: vec![Seat::default(); count],
+            seats_read: false,
+            seats_reading: false,
+            loads: BTreeMap::new(),
+            follow: BTreeMap::new(),
+            types: BTreeMap::new(),
+            known: BTreeMap::new(),
+            known_order: VecDeque::new(),
+            jobs: BTreeMap::new(),
+            progress: BTreeMap::new(),
+            by_machine: BTreeMap::new(),
+            part_size: job::part_size(config.settings.state.value_kb),
+            submissions: 0,
+            wants: vec![HeardWants::default(); count],
+            views: BTreeMap::new(),
+            posts: BTreeMap::new(),
+            gone: BTreeSet::new(),
+            draining: BTreeSet::new(),
+            images: ImageIndex::new(options.index_entries, options.index_age),
+            quotas,
+            quotas_read: false,
+            peers,
+            fleet: Fleet::default(),
+            counts: Counts::default(),
+            seq: 0,
+            dirty_jobs: BTreeSet::new(),
+            dirty_wants: BTreeSet::new(),
+            complete_wants: BTreeSet::new(),
+            dirty_posts: BTreeSet::new(),
+            dirty_progress: BTreeSet::new(),
+            note_cancelled: Vec::new(),
+            note_gone: Vec::new(),
+            note_preempt: Vec::new(),
+            sync_peers: BTreeSet::new(),
+            place_wanted: false,
+            placed_at: Micros::ZERO,
+            beat_at: Micros::ZERO,
+            tend_at: Micros::ZERO,
+            demand_at: Micros::ZERO,
+            quota_at: Micros::ZERO,
+            options,
+        }
+    }
+
+    /// Number of a member.
+    pub fn member_number(&self, name: &str) -> Option<usize> {
+        self.members.binary_search_by(|m| m.as_str().cmp(name)).ok()
+    }
+
+    /// Takes in an event.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Effect>) {
+        self.now = now;
+        match event {
+            Event::Http { ticket, method, path, body } => self.http(ticket, &method, &path, &body),
+            Event::Reply { id, reply } => {
+                if let Some(op) = self.ops.remove(&id) {
+                    self.reply(op, reply);
+                }
+            }
+            Event::Peer { from, frame } => self.peer_frame(from, frame),
+            Event::PeerUp(peer) => {
+                self.sync_peers.insert(peer);
+            }
+            Event::PeerDown(peer) => {
+                self.sync_peers.remove(&peer);
+            }
+            Event::Tick => self.tick(),
+        }
+        out.append(&mut self.out);
+    }
+
+    fn reply(&mut self, op: Op, reply: Reply) {
+        match reply {
+            Reply::State(r) => match op {
+                Op::Submit { .. }
+                | Op::SubmitRead { .. }
+                | Op::Poll { .. }
+                | Op::CancelRead { .. }
+                | Op::CancelWrite { .. } => self.api_reply(op, r),
+                Op::Store { .. } | Op::Recheck { .. } | Op::RecheckParts { .. } => {
+                    self.store_reply(op, r)
+                }
+                Op::QuotaList | Op::QuotaRead { .. } | Op::QuotaWrite { .. } => {
+                    self.quota_reply(op, r)
+                }
+                _ => self.seat_reply(op, r),
+            },
+            Reply::Cloud(r) => self.cloud_reply(op, r),
+            Reply::Direct(r) => {
+                if let Op::Direct { machine, starts, term } = op {
+                    self.direct_reply(&machine, &starts, term, r);
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.tend_seats();
+        if self.now >= self.tend_at {
+            self.tend_at = self.now + Micros::millis(250);
+            self.tend_posts();
+            self.tend_jobs();
+            self.place_wanted = true;
+        }
+        if self.now >= self.quota_at {
+            self.quota_at = self.now + Micros::millis(300);
+            self.tend_quotas();
+        }
+        self.tend_fleet();
+    }
+
+    /// Works off what has changed since the last call: placements, writes,
+    /// wants, views, and one frame for each peer.
+    pub fn flush(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        self.now = now;
+        if self.acting() {
+            self.place();
+            self.store_dirty();
+            let mut frame = Frame::default();
+            // Wants may change views, and views may end tasks; what is left
+            // after a few rounds waits for the next turn.
+            for _ in 0..3 {
+                if self.dirty_wants.is_empty()
+                    && self.complete_wants.is_empty()
+                    && self.dirty_posts.is_empty()
+                {
+                    break;
+                }
+                self.send_wants(&mut frame);
+                self.send_views(&mut frame);
+            }
+            self.store_dirty();
+            self.send_frames(frame);
+        } else if self.now >= self.beat_at {
+            self.send_frames(Frame::default());
+        }
+        out.append(&mut self.out);
+    }
+
+    fn call_id(&mut self, op: Op) -> CallId {
+        let id = CallId(self.next_call);
+        self.next_call += 1;
+        self.ops.insert(id, op);
+        id
+    }
+
+    fn state(&mut self, op: Op, call: StateCall) {
+        let id = self.call_id(op);
+        self.out.push(Effect::State { id, call });
+    }
+
+    fn cloud(&mut self, op: Op, call: CloudCall) {
+        let id = self.call_id(op);
+        self.out.push(Effect::Cloud { id, call });
+    }
+
+    /// The time of day.
+    fn wall(&self) -> Micros {
+        self.wall + self.now
+    }
+
+    /// True while this process may act for the seats it holds. Past the end of
+    /// its lease another may have taken them.
+    fn acting(&self) -> bool {
+        self.lease.valid(self.now)
+    }
+
+    /// The term under which this process acts for a seat, if it does.
+    fn my_term(&self, seat: usize) -> Option<u64> {
+        let mine = self.seats.get(seat)?.mine.as_ref()?;
+        self.acting().then_some(mine.term)
+    }
+
+    /// True if this process runs the seat's jobs.
+    fn runs(&self, seat: usize) -> bool {
+        self.acting()
+            && self.seats[seat].mine.as_ref().is_some_and(|m| m.loaded && !m.releasing)
+    }
+
+    fn seat_of_machine(&self, machine: &str) -> usize {
+        seat::seat_of_machine(machine, self.seats.len())
+    }
+
+    /// The member that holds a seat, as far as known.
+    fn holder(&self, seat: usize) -> Option<usize> {
+        let (hold, _) = self.seats[seat].hold.as_ref()?;
+        self.member_number(&hold.member)
+    }
+
+    fn peer_alive(&self, member: usize) -> bool {
+        self.peers
+            .get(&member)
+            .and_then(|p| p.heard)
+            .is_some_and(|at| self.now.since(at) < PEER_SILENT)
+    }
+
+    fn peer_frame(&mut self, from: usize, frame: Frame) {
+        let now = self.now;
+        let Some(info) = self.peers.get_mut(&from) else {
+            return;
+        };
+        if info.run != frame.run {
+            info.run = frame.run;
+            info.well_since = None;
+        }
+        if info.heard.is_none_or(|at| now.since(at) > PEER_SILENT) || !frame.state_ok {
+            info.well_since = None;
+        }
+        info.heard = Some(now);
+        info.state_ok = frame.state_ok;
+        if frame.state_ok {
+            info.well_since.get_or_insert(now);
+        }
+        if frame.has_demand {
+            info.demand = frame.demand;
+            info.needs = frame.needs;
+        }
+        for h in &frame.held {
+            let Some(seat) = self.seats.get_mut(h.seat as usize) else {
+                continue;
+            };
+            if h.term > seat.term {
+                // Not yet heard from the watch: only the term is taken over,
+                // the holder's mark comes with the watch.
+                seat.term = h.term;
+                if seat.mine.as_ref().is_some_and(|m| m.term < h.term) {
+                    self.lose_seat(h.seat as usize, "a peer holds it under a higher term");
+                }
+            }
+        }
+        for w in frame.wants {
+            self.hear_wants(w);
+        }
+        for v in frame.views {
+            self.see_view(v);
+        }
+        for p in frame.progress {
+            self.progress.insert(p.job, (p.done, p.running));
+        }
+        for job in frame.cancelled {
+            self.job_cancelled(&job);
+        }
+        for machine in frame.gone {
+            self.machine_gone(&machine);
+        }
+        if frame.rents {
+            self.draining = frame.draining.into_iter().collect();
+        }
+        for t in frame.preempt {
+            self.give_way(&t);
+        }
+    }
+
+    fn send_frames(&mut self, mut frame: Frame) {
+        let acting = self.acting();
+        for job in std::mem::take(&mut self.dirty_progress) {
+            if let Some(j) = self.jobs.get(&job) {
+                let (done, running) = (j.done(), j.running());
+                if self.progress.get(&job) != Some(&(done, running)) {
+                    self.progress.insert(job.clone(), (done, running));
+                    frame.progress.push(peer::Progress { job, done, running });
+                }
+            }
+        }
+        frame.cancelled = std::mem::take(&mut self.note_cancelled);
+        frame.gone = std::mem::take(&mut self.note_gone);
+        frame.preempt = std::mem::take(&mut self.note_preempt);
+        let beat = self.now >= self.beat_at;
+        let idle = frame == Frame::default();
+        if beat || self.now >= self.demand_at {
+            self.demand_at = self.now + Micros::millis(400);
+            if acting {
+                frame.has_demand = true;
+                frame.demand = self.demand();
+                frame.needs = self.quota_needs();
+            }
+        }
+        if idle && !beat && self.sync_peers.is_empty() {
+            return;
+        }
+        if beat {
+            self.beat_at = self.now + Micros::millis(800);
+        }
+        frame.member.clone_from(&self.member);
+        frame.run = self.run;
+        frame.state_ok = acting;
+        if acting {
+            for (n, seat) in self.seats.iter().enumerate() {
+                if let Some(m) = &seat.mine {
+                    frame.held.push(peer::HeldSeat { seat: n as u32, term: m.term });
+                }
+            }
+            if self.my_term(fleet::RENTING_SEAT).is_some() {
+                frame.rents = true;
+                frame.draining = self.fleet.draining.keys().cloned().collect();
+                self.draining = frame.draining.iter().cloned().collect();
+            }
+        }
+        let sync = std::mem::take(&mut self.sync_peers);
+        let peers: Vec<usize> = self.peers.keys().copied().collect();
+        for to in peers {
+            let frame = if sync.contains(&to) && acting {
+                self.full_frame(frame.clone())
+            } else {
+                frame.clone()
+            };
+            self.out.push(Effect::Peer { to, frame });
+        }
+        if !acting {
+            // Nothing could be said yet; the new connections still need all of it.
+            self.sync_peers = sync;
+        }
+    }
+
+    /// Everything that a peer must know which has heard nothing so far.
+    fn full_frame(&self, mut frame: Frame) -> Frame {
+        frame.wants.clear();
+        for seat in 0..self.seats.len() {
+            let heard = &self.wants[seat];
+            if !self.runs(seat) || self.my_term(seat) != Some(heard.term) || heard.complete == 0 {
+                continue;
+            }
+            frame.wants.push(SeatWants {
+                seat: seat as u32,
+                term: heard.term,
+                seq: heard.seq,
+                complete: true,
+                machines: heard
+                    .machines
+                    .iter()
+                    .filter(|(_, (_, tasks))| !tasks.is_empty())
+                    .map(|(m, (_, tasks))| peer::MachineWants {
+                        machine: m.clone(),
+                        tasks: tasks.clone(),
+                    })
+                    .collect(),
+            });
+        }
+        frame.views = self
+            .posts
+            .keys()
+            .filter_map(|m| self.views.get(m))
+            .cloned()
+            .collect();
+        frame.progress = self
+            .jobs
+            .iter()
+            .map(|(id, j)| peer::Progress {
+                job: id.clone(),
+                done: j.done(),
+                running: j.running(),
+            })
+            .collect();
+        frame.gone = self.gone.iter().rev().take(500).cloned().collect();
+        frame
+    }
+
+    fn note_known(&mut self, job: &str, known: Known) {
+        match self.known.insert(job.to_string(), known) {
+            // A stage that is final stays: an answer read earlier may come later.
+            Some(old) if old.stage != StoredStage::Accepted => {
+                self.known.insert(job.to_string(), old);
+            }
+            Some(_) => {}
+            None => self.known_order.push_back(job.to_string()),
+        }
+        while self.known_order.len() > KNOWN_JOBS {
+            if let Some(old) = self.known_order.pop_front() {
+                self.known.remove(&old);
+                self.progress.remove(&old);
+            }
+        }
+    }
+
+    /// For the status page.
+    pub fn status(&self, now: Micros) -> Value {
+        let seats: Vec<Value> = self
+            .seats
+            .iter()
+            .enumerate()
+            .map(|(n, s)| {
+                serde_json::json!({
+                    "seat": n,
+                    "holder": s.hold.as_ref().map(|(h, _)| &h.member),
+                    "term": s.term,
+                    "mine": s.mine.is_some(),
+                    "loaded": s.mine.as_ref().is_some_and(|m| m.loaded),
+                })
+            })
+            .collect();
+        let machines: Vec<Value> = self
+            .views
+            .values()
+            .map(|v| {
+                serde_json::json!({
+                    "machine": v.machine, "type": v.machine_type, "zone": v.zone,
+                    "spot": v.spot, "known": v.known, "healthy": v.healthy,
+                    "tasks": v.tasks.len(),
+                })
+            })
+            .collect();
+        let c = &self.counts;
+        serde_json::json!({
+            "member": self.member,
+            "lease_valid": self.lease.valid(now),
+            "seats": seats,
+            "jobs": self.jobs.len(),
+            "tasks_waiting": self.jobs.values().map(|j| u64::from(j.pending())).sum::<u64>(),
+            "machines": machines,
+            "rented": self.fleet.stages(),
+            "image_entries": self.images.len(),
+            "counts": {
+                "accepted": c.accepted, "refused": c.refused, "done": c.done,
+                "cancelled": c.cancelled, "placed": c.placed, "image_hits": c.image_hits,
+                "failed": c.failed, "lost": c.lost, "preempted": c.preempted,
+                "reports": c.reports, "bad_reports": c.bad_reports,
+            },
+        })
+    }
+
+    /// The queue as plain text: in order of service, each with why it waits.
+    pub fn queue_page(&self, _now: Micros) -> String {
+        use std::fmt::Write;
+        let mut page = String::from("job class team priority waiting running done reason\n");
+        for id in self.queue_order() {
+            if let Some(j) = self.jobs.get(&id) {
+                // Writing into a String cannot fail.
+                let _ = writeln!(
+                    page,
+                    "{id} {} {} {:?} {} {} {} {}",
+                    j.spec.class,
+                    j.spec.team,
+                    j.spec.priority,
+                    j.pending(),
+                    j.running(),
+                    j.done(),
+                    j.waits
+                );
+            }
+        }
+        page
+    }
+
+    /// Number of seats held, for tests and the log.
+    pub fn seats_held(&self) -> usize {
+        self.seats.iter().filter(|s| s.mine.is_some()).count()
+    }
+
+    fn stage_word(stage: StoredStage) -> JobStage {
+        match stage {
+            StoredStage::Accepted => JobStage::Queued,
+            StoredStage::Done => JobStage::Done,
+            StoredStage::Cancelled => JobStage::Cancelled,
+        }
+    }
+}
--- /dev/null
+++ b/src/controller/owner.rs
@@ -0,0 +1,744 @@
+//! The jobs of this process's seats: what became of their tasks, what is
+//! written down, and what is therefore wanted on machines.
+
+use super::job::{self, Job, JobRecord, Placement, StoredStage};
+use super::seat;
+use super::{Controller, Known, Op};
+use crate::peer::{Frame, MachineView, MachineWants, Seen, SeenTask, SeatWants, WantedTask};
+use crate::state::{StateCall, StateReply};
+use crate::time::Micros;
+use crate::wire::{Condition, Txn, Write};
+use log::{info, warn};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Parts in one transaction: with 8 KiB values more would pass 64 KiB.
+const PARTS_PER_TXN: usize = 6;
+/// Failures on different machines after which a job itself is suspected.
+const JOB_SUSPECT: u32 = 3;
+
+impl Controller {
+    /// Looks at all tasks of a seat on a machine.
+    pub(super) fn judge_machine(&mut self, s: usize, machine: &str) {
+        if !self.runs(s) {
+            return;
+        }
+        let Some(tasks) = self.by_machine.get(&(s, Rc::from(machine))).cloned() else {
+            return;
+        };
+        for (job, index) in tasks {
+            self.judge(&job, index);
+        }
+    }
+
+    /// Works out what became of a task from what its machine's seat says.
+    fn judge(&mut self, id: &str, index: u32) {
+        let Some(term) = self.jobs.get(id).and_then(|j| self.my_term(j.seat)) else {
+            return;
+        };
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let s = job.seat;
+        let Some(part) = job.part_of(index) else {
+            return;
+        };
+        let Some(p) = part.placed.get_mut(&index) else {
+            return;
+        };
+        let machine = Rc::clone(&p.machine);
+        if self.gone.contains(&*machine) {
+            self.counts.lost += 1;
+            return self.end_task(id, index, Seen::Stopped);
+        }
+        let Some(view) = self.views.get(&*machine) else {
+            return;
+        };
+        let ended = if view.over_through >= p.session || view.vanished || view.session > p.session {
+            // Its session is surely over, and everything in it.
+            self.counts.lost += 1;
+            Some(Seen::Stopped)
+        } else if !view.known || view.session != p.session {
+            None
+        } else {
+            let found = view
+                .tasks
+                .iter()
+                .find(|t| t.attempt == p.attempt && t.index == index && t.job == id)
+                .map(|t| t.seen());
+            match found {
+                Some(seen) if seen.over() => Some(seen),
+                Some(seen) => {
+                    if p.seen != Some(seen) {
+                        p.seen = Some(seen);
+                        if seen == Seen::Running {
+                            p.running_since.get_or_insert(now);
+                        }
+                        self.dirty_progress.insert(id.to_string());
+                    }
+                    None
+                }
+                // Absence proves something only once the machine's seat has
+                // heard that the task is not wanted: until then it may be
+                // about to send the start.
+                None => {
+                    let heard = view.heard.iter().find(|h| h.seat as usize == s);
+                    let stopped = p.stop_seq.is_some_and(|q| {
+                        heard.is_some_and(|h| h.term == term && h.seq >= q)
+                    });
+                    stopped.then_some(Seen::Stopped)
+                }
+            }
+        };
+        match ended {
+            Some(seen) => self.end_task(id, index, seen),
+            None => self.mind_notice(id, index),
+        }
+    }
+
+    /// A spot machine is about to be taken: tasks that can save do so, tasks
+    /// that cannot end in time move at once, the others may still end.
+    fn mind_notice(&mut self, id: &str, index: u32) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let spec = Rc::clone(&job.spec);
+        let typical = job.typical_run();
+        let Some(p) = job.part_of(index).and_then(|part| part.placed.get_mut(&index)) else {
+            return;
+        };
+        if p.stop.is_some() {
+            return;
+        }
+        let Some(left) = self.views.get(&*p.machine).and_then(|v| v.notice_ms) else {
+            return;
+        };
+        let left = Micros::millis(left);
+        let ran = p.running_since.map_or(Micros::ZERO, |at| now.since(at));
+        let ends_in = if p.running_since.is_some() { typical.since(ran) } else { Micros::FAR };
+        if ends_in + Micros::secs(2) < left {
+            return;
+        }
+        let save = Micros::from_secs_f64(spec.save_s);
+        let grace = if spec.checkpoint_s > 0.0 && save < left { save + Micros::secs(1) } else { Micros::ZERO };
+        p.stop = Some(grace);
+        let key = (job.seat, Rc::clone(&p_machine(job, index)));
+        self.dirty_wants.insert(key);
+    }
+
+    /// Asks for a task to be stopped.
+    pub(super) fn stop_task(&mut self, id: &str, index: u32, grace: Micros) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let s = job.seat;
+        let Some(p) = job.part_of(index).and_then(|part| part.placed.get_mut(&index)) else {
+            return;
+        };
+        if p.stop.is_some_and(|g| g <= grace) {
+            return;
+        }
+        p.stop = Some(grace);
+        let machine = Rc::clone(&p.machine);
+        self.dirty_wants.insert((s, machine));
+    }
+
+    /// Another seat needs the room of one of our tasks.
+    pub(super) fn give_way(&mut self, t: &SeenTask) {
+        let Some(job) = self.jobs.get_mut(&t.job) else {
+            return;
+        };
+        let grace = if job.spec.checkpoint_s > 0.0 {
+            Micros::from_secs_f64(job.spec.save_s) + Micros::secs(1)
+        } else {
+            Micros::ZERO
+        };
+        let there = job
+            .part_of(t.index)
+            .and_then(|p| p.placed.get(&t.index))
+            .is_some_and(|p| p.attempt == t.attempt && p.stop.is_none());
+        if there {
+            self.counts.preempted += 1;
+            self.stop_task(&t.job, t.index, grace);
+        }
+    }
+
+    /// Stops everything of a cancelled job.
+    pub(super) fn stop_job(&mut self, id: &str) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let placed: Vec<u32> =
+            job.parts.iter().flat_map(|p| p.placed.keys().copied()).collect();
+        for index in placed {
+            self.stop_task(id, index, Micros::ZERO);
+        }
+        self.dirty_jobs.insert(id.to_string());
+    }
+
+    /// A job's user has cancelled it: on some node, perhaps this one.
+    pub(super) fn job_cancelled(&mut self, id: &str) {
+        if let Some(job) = self.jobs.get_mut(id)
+            && !job.cancelled
+            && !job.over
+        {
+            job.cancelled = true;
+            self.counts.cancelled += 1;
+            self.stop_job(id);
+            self.place_wanted = true;
+        }
+    }
+
+    /// A machine is known to be gone, with everything on it.
+    pub(super) fn machine_gone(&mut self, machine: &str) {
+        if !self.gone.insert(machine.to_string()) {
+            return;
+        }
+        info!("machine {machine} is gone");
+        while self.gone.len() > 5_000 {
+            // Names rise with time, so the first is the oldest.
+            self.gone.pop_first();
+        }
+        self.posts.remove(machine);
+        self.views.remove(machine);
+        self.dirty_posts.remove(machine);
+        self.fleet.forget(machine);
+        for s in 0..self.seats.len() {
+            self.judge_machine(s, machine);
+        }
+        self.place_wanted = true;
+    }
+
+    fn end_task(&mut self, id: &str, index: u32, seen: Seen) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(p) = job.end(index, seen == Seen::Done) else {
+            return;
+        };
+        match seen {
+            Seen::Done => {
+                job.failures = 0;
+                if let Some(at) = p.running_since
+                    && job.run_times.len() < 64
+                {
+                    job.run_times.push(now.since(at));
+                }
+            }
+            Seen::Failed => {
+                self.counts.failed += 1;
+                job.failures += 1;
+                job.avoid.insert(Rc::clone(&p.machine));
+                if job.avoid.len() > 6 {
+                    job.avoid.clear();
+                }
+                info!("task {id}/{index} failed on {}", p.machine);
+                if job.failures >= JOB_SUSPECT {
+                    // It failed on several machines: the fault may be its own,
+                    // and trying it at once would only take up room.
+                    let wait = 1_u64 << (job.failures - JOB_SUSPECT).min(5);
+                    job.not_before = now + Micros::secs(wait);
+                }
+            }
+            Seen::Refused => job.not_before = job.not_before.max(now + Micros::millis(100)),
+            _ => {}
+        }
+        self.dirty_jobs.insert(id.to_string());
+        self.dirty_progress.insert(id.to_string());
+        self.place_wanted = true;
+    }
+
+    /// Times out what waits for nothing else.
+    pub(super) fn tend_jobs(&mut self) {
+        if !self.acting() {
+            return;
+        }
+        // Notices run down between reports.
+        let noticed: Vec<String> = self
+            .views
+            .iter()
+            .filter(|(_, v)| v.notice_ms.is_some())
+            .map(|(m, _)| m.clone())
+            .collect();
+        for m in noticed {
+            for s in 0..self.seats.len() {
+                self.judge_machine(s, &m);
+            }
+        }
+    }
+
+    /// Reads again how a job stands in the store.
+    pub(super) fn recheck(&mut self, id: &str) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.busy {
+            return;
+        }
+        let Some(term) = self.seats[job.seat].mine.as_ref().map(|m| m.term) else {
+            return;
+        };
+        job.busy = true;
+        let op = Op::Recheck { job: id.to_string(), term };
+        self.state(op, StateCall::Get(job::job_key(id)));
+    }
+
+    /// Begins a transaction for every job with changes and none under way.
+    pub(super) fn store_dirty(&mut self) {
+        if self.dirty_jobs.is_empty() {
+            return;
+        }
+        let ids: Vec<String> = self.dirty_jobs.iter().cloned().collect();
+        for id in ids {
+            self.store(&id);
+        }
+    }
+
+    fn store(&mut self, id: &str) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            self.dirty_jobs.remove(id);
+            return;
+        };
+        let s = job.seat;
+        if job.busy || !self.lease.valid(self.now) {
+            return;
+        }
+        let Some(mine) = self.seats[s].mine.as_ref().filter(|m| m.loaded) else {
+            return;
+        };
+        let (hold, term) = (mine.mark, mine.term);
+        let most = self.settings.state.txn_ops;
+        if job.cancelled && !job.over {
+            // Its ends need not be stored: nothing of it is ever started again.
+            for part in &mut job.parts {
+                part.releasing.clear();
+            }
+            if job.booked() > 0 {
+                self.refresh_job_wants(id);
+                self.dirty_jobs.remove(id);
+                return;
+            }
+            job.over = true;
+        }
+        let mut txn = Txn {
+            conditions: vec![Condition { key: seat::hold_key(s), version: hold }],
+            writes: Vec::new(),
+        };
+        let record = job::job_key(id);
+        let (mut parts, mut drops, mut done) = (Vec::new(), Vec::new(), false);
+        if !job.over && job.complete() {
+            done = true;
+            let value = JobRecord { seat: s, stage: StoredStage::Done, tasks: job.spec.tasks };
+            txn.conditions.push(Condition { key: record.clone(), version: job.mark });
+            let key = record.clone();
+            txn.writes.push(Write::Put { key, value: json!(value), lease: None });
+        }
+        if job.over || done {
+            for (n, part) in job.parts.iter().enumerate().rev() {
+                if part.mark > 0 && txn.writes.len() < most {
+                    drops.push(n);
+                    txn.conditions
+                        .push(Condition { key: job::part_key(s, id, n), version: part.mark });
+                    txn.writes.push(Write::Delete { key: job::part_key(s, id, n) });
+                }
+            }
+            if job.over && drops.is_empty() {
+                self.forget_job(id);
+                return;
+            }
+        } else {
+            txn.conditions.push(Condition { key: record, version: job.mark });
+            for n in 0..job.parts.len() {
+                if parts.len() >= PARTS_PER_TXN.min(most) {
+                    break;
+                }
+                let part = &job.parts[n];
+                if part.version > part.stored {
+                    let key = job::part_key(s, id, n);
+                    parts.push((n, part.version));
+                    txn.conditions.push(Condition { key: key.clone(), version: part.mark });
+                    txn.writes.push(Write::Put { key, value: job.encode_part(n), lease: None });
+                }
+            }
+            if parts.is_empty() {
+                self.dirty_jobs.remove(id);
+                return;
+            }
+        }
+        job.busy = true;
+        self.dirty_jobs.remove(id);
+        let op = Op::Store { job: id.to_string(), term, parts, done, drops };
+        self.state(op, StateCall::Txn(txn));
+    }
+
+    fn forget_job(&mut self, id: &str) {
+        self.dirty_jobs.remove(id);
+        self.refresh_job_wants(id);
+        if let Some(job) = self.jobs.remove(id) {
+            let machines: Vec<(usize, Rc<str>)> = self
+                .by_machine
+                .iter()
+                .filter(|((s, _), tasks)| {
+                    *s == job.seat && tasks.iter().any(|(j, _)| j == id)
+                })
+                .map(|(k, _)| k.clone())
+                .collect();
+            for key in machines {
+                if let Some(tasks) = self.by_machine.get_mut(&key) {
+                    tasks.retain(|(j, _)| j != id);
+                    if tasks.is_empty() {
+                        self.by_machine.remove(&key);
+                    }
+                }
+                self.dirty_wants.insert(key);
+            }
+        }
+    }
+
+    /// Marks the wants of every machine that has tasks of the job.
+    fn refresh_job_wants(&mut self, id: &str) {
+        let Some(seat) = self.jobs.get(id).map(|j| j.seat) else {
+            return;
+        };
+        let keys: Vec<(usize, Rc<str>)> = self
+            .by_machine
+            .iter()
+            .filter(|((s, _), tasks)| *s == seat && tasks.iter().any(|(j, _)| j == id))
+            .map(|(k, _)| k.clone())
+            .collect();
+        self.dirty_wants.extend(keys);
+    }
+
+    pub(super) fn store_reply(&mut self, op: Op, reply: StateReply) {
+        let (Op::Store { job: id, term, .. }
+        | Op::Recheck { job: id, term }
+        | Op::RecheckParts { job: id, term }) = &op
+        else {
+            return;
+        };
+        let id = id.clone();
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let s = job.seat;
+        // A reply to an earlier holding of the seat says nothing about this one.
+        if self.seats[s].mine.as_ref().is_none_or(|m| m.term != *term) {
+            return;
+        }
+        job.busy = false;
+        self.dirty_jobs.insert(id.clone());
+        match (op, reply) {
+            (Op::Store { parts, done, drops, .. }, StateReply::Applied(mark)) => {
+                self.stored(&id, mark, &parts, done, &drops);
+            }
+            (Op::Store { term, .. }, StateReply::Conflict(failed)) => {
+                if failed.contains(&seat::hold_key(s)) {
+                    self.suspect_seat(s, term);
+                } else {
+                    self.recheck(&id);
+                }
+            }
+            (Op::Store { .. }, StateReply::Refused) => {}
+            // It may have been applied, or may be later: what is stored decides,
+            // and a late one fails on the parts' marks.
+            (Op::Store { .. }, _) => self.recheck(&id),
+            (Op::Recheck { term, .. }, StateReply::Value(Some(item))) => {
+                let Ok(r) = serde_json::from_value::<JobRecord>(item.value) else {
+                    warn!("unreadable record of job {id}");
+                    return;
+                };
+                let known = Known { stage: r.stage, seat: r.seat, tasks: r.tasks };
+                self.note_known(&id, known);
+                match r.stage {
+                    StoredStage::Cancelled => self.job_cancelled(&id),
+                    StoredStage::Done => {
+                        if let Some(job) = self.jobs.get_mut(&id) {
+                            job.over = true;
+                        }
+                    }
+                    StoredStage::Accepted => {}
+                }
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.mark = item.version;
+                    job.busy = true;
+                    let op = Op::RecheckParts { job: id.clone(), term };
+                    let prefix = format!("w/{s}/{id}/");
+                    self.state(op, StateCall::List { prefix, after: None });
+                }
+            }
+            (Op::RecheckParts { .. }, StateReply::Page { items, more, .. }) => {
+                self.parts_read(&id, &items, more);
+            }
+            (Op::Recheck { .. } | Op::RecheckParts { .. }, _) => self.recheck_later(&id),
+            _ => {}
+        }
+    }
+
+    /// A recheck failed. The job's next write would fail on its marks and so
+    /// lead here again; nothing is lost by trying that.
+    fn recheck_later(&mut self, id: &str) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.not_before = job.not_before.max(self.now + Micros::millis(200));
+        }
+    }
+
+    fn parts_read(&mut self, id: &str, items: &[crate::wire::Item], more: bool) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let mut stored: BTreeMap<usize, (u64, u64)> = BTreeMap::new();
+        for item in items {
+            if let Some((_, n)) = job::parse_part_key(&item.key) {
+                let v = item.value.get("v").and_then(serde_json::Value::as_u64).unwrap_or(0);
+                stored.insert(n, (v, item.version));
+            }
+        }
+        let mut applied: Vec<(usize, u64)> = Vec::new();
+        let mut marks: Vec<(usize, u64)> = Vec::new();
+        for (n, part) in job.parts.iter_mut().enumerate() {
+            match stored.get(&n) {
+                Some((v, mark)) => {
+                    marks.push((n, *mark));
+                    if *v > part.stored && *v <= part.version {
+                        applied.push((n, *v));
+                    }
+                }
+                None if !more => part.mark = 0,
+                None => {}
+            }
+        }
+        for (n, mark) in marks {
+            job.parts[n].mark = mark;
+        }
+        for (n, v) in applied {
+            let mark = self.jobs.get(id).map_or(0, |j| j.parts[n].mark);
+            self.stored(id, mark, &[(n, v)], false, &[]);
+        }
+    }
+
+    /// Changes are stored: they may now be acted on.
+    fn stored(
+        &mut self,
+        id: &str,
+        mark: u64,
+        parts: &[(usize, u64)],
+        done: bool,
+        drops: &[usize],
+    ) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let s = job.seat;
+        let mut touched: Vec<(Rc<str>, u32)> = Vec::new();
+        for (n, version) in parts {
+            let part = &mut job.parts[*n];
+            let before = part.stored;
+            part.stored = (*version).max(before);
+            part.mark = mark;
+            let fresh = part.placed.iter().filter(|(_, p)| p.version > before);
+            touched.extend(fresh.map(|(i, p)| (Rc::clone(&p.machine), *i)));
+            let stored = part.stored;
+            let ended = part.releasing.iter().filter(|(v, _, _)| *v <= stored);
+            touched.extend(ended.map(|(_, i, p)| (Rc::clone(&p.machine), *i)));
+            part.releasing.retain(|(v, _, _)| *v > stored);
+        }
+        for n in drops {
+            job.parts[*n].mark = 0;
+        }
+        if done {
+            info!("job {id} done: {} tasks", job.spec.tasks);
+            job.over = true;
+            self.counts.done += 1;
+            for part in &mut job.parts {
+                for (_, i, p) in part.releasing.drain(..) {
+                    touched.push((p.machine, i));
+                }
+            }
+            let known =
+                Known { stage: StoredStage::Done, seat: s, tasks: job.spec.tasks };
+            self.note_known(id, known);
+        }
+        for (machine, index) in touched {
+            self.unlink(id, index, &machine);
+            self.dirty_wants.insert((s, machine));
+        }
+    }
+
+    /// Removes a task from its machine's list once nothing of it is left there.
+    fn unlink(&mut self, id: &str, index: u32, machine: &Rc<str>) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let s = job.seat;
+        let Some(part) = job.part_of(index) else {
+            return;
+        };
+        let here = part.placed.get(&index).is_some_and(|p| p.machine == *machine)
+            || part.releasing.iter().any(|(_, i, p)| *i == index && p.machine == *machine);
+        if here {
+            return;
+        }
+        let key = (s, Rc::clone(machine));
+        if let Some(tasks) = self.by_machine.get_mut(&key) {
+            tasks.remove(&(id.to_string(), index));
+            if tasks.is_empty() {
+                self.by_machine.remove(&key);
+            }
+        }
+    }
+
+    /// What a seat wants on a machine, by what is stored.
+    fn wants_on(&mut self, s: usize, machine: &Rc<str>, seq: u64) -> Vec<WantedTask> {
+        let Some(tasks) = self.by_machine.get(&(s, Rc::clone(machine))).cloned() else {
+            return Vec::new();
+        };
+        let mut list = Vec::new();
+        for (id, index) in tasks {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let (spec, rank) = (Rc::clone(&job.spec), job.rank());
+            let Some(part) = job.part_of(index) else {
+                continue;
+            };
+            let stored = part.stored;
+            let wanted = |p: &Placement| WantedTask {
+                job: id.clone(),
+                index,
+                attempt: p.attempt,
+                session: p.session,
+                cpus: spec.cpus,
+                gpus: spec.gpus,
+                memory_gb: spec.memory_gb,
+                image: spec.image.clone(),
+                image_gb: spec.image_gb,
+                stop_ms: p.stop.map(Micros::as_millis),
+                rank,
+                team: spec.team.clone(),
+            };
+            // Nothing is asked for before it is written down: a start that
+            // nobody remembers could run beside the next one.
+            if let Some(p) = part.placed.get_mut(&index)
+                && p.machine == *machine
+                && p.version <= stored
+            {
+                if p.stop.is_some() {
+                    p.stop_seq.get_or_insert(seq);
+                }
+                list.push(wanted(p));
+            }
+            for (_, i, p) in &part.releasing {
+                if *i == index && p.machine == *machine && p.version <= stored {
+                    list.push(wanted(p));
+                }
+            }
+        }
+        list
+    }
+
+    /// Sends what has changed in the wants of own seats, to the own holder
+    /// hat first.
+    pub(super) fn send_wants(&mut self, frame: &mut Frame) {
+        let mut messages: Vec<SeatWants> = Vec::new();
+        for s in std::mem::take(&mut self.complete_wants) {
+            let Some(term) = self.my_term(s) else {
+                continue;
+            };
+            self.dirty_wants.retain(|(seat, _)| *seat != s);
+            self.seq += 1;
+            let seq = self.seq;
+            let machines: Vec<Rc<str>> = self
+                .by_machine
+                .keys()
+                .filter(|(seat, _)| *seat == s)
+                .map(|(_, m)| Rc::clone(m))
+                .collect();
+            let machines = machines
+                .iter()
+                .map(|m| MachineWants { machine: m.to_string(), tasks: self.wants_on(s, m, seq) })
+                .collect();
+            messages.push(SeatWants { seat: s as u32, term, seq, complete: true, machines });
+        }
+        let mut changed: BTreeMap<usize, Vec<Rc<str>>> = BTreeMap::new();
+        for (s, m) in std::mem::take(&mut self.dirty_wants) {
+            changed.entry(s).or_default().push(m);
+        }
+        for (s, machines) in changed {
+            let (Some(term), true) = (self.my_term(s), self.runs_or_releases(s)) else {
+                continue;
+            };
+            self.seq += 1;
+            let seq = self.seq;
+            let machines = machines
+                .iter()
+                .map(|m| MachineWants { machine: m.to_string(), tasks: self.wants_on(s, m, seq) })
+                .collect();
+            messages.push(SeatWants { seat: s as u32, term, seq, complete: false, machines });
+        }
+        for m in &messages {
+            self.hear_wants(m.clone());
+        }
+        frame.wants.extend(messages);
+    }
+
+    fn runs_or_releases(&self, s: usize) -> bool {
+        self.seats[s].mine.as_ref().is_some_and(|m| m.loaded)
+    }
+
+    /// Takes in a view of a machine.
+    pub(super) fn see_view(&mut self, view: MachineView) {
+        let h = self.seat_of_machine(&view.machine);
+        if self.gone.contains(&view.machine) || view.term < self.seats[h].term {
+            return;
+        }
+        if let Some(old) = self.views.get(&view.machine)
+            && (view.term, view.seq) <= (old.term, old.seq)
+        {
+            return;
+        }
+        let now = self.now;
+        for t in &view.tasks {
+            if matches!(t.seen(), Seen::Running | Seen::Saving | Seen::Done) {
+                let image = self
+                    .wants
+                    .iter()
+                    .filter_map(|w| w.machines.get(&view.machine))
+                    .flat_map(|(_, tasks)| tasks)
+                    .find(|w| w.index == t.index && w.attempt == t.attempt && w.job == t.job)
+                    .map(|w| w.image.clone());
+                if let Some(image) = image {
+                    self.images.note(now, &image, &view.machine, view.session);
+                }
+            }
+        }
+        let machine = view.machine.clone();
+        self.views.insert(machine.clone(), view);
+        for s in 0..self.seats.len() {
+            self.judge_machine(s, &machine);
+        }
+        self.place_wanted = true;
+    }
+}
+
+fn p_machine(job: &mut Job, index: u32) -> Rc<str> {
+    job.part_of(index)
+        .and_then(|part| part.placed.get(&index))
+        .map_or_else(|| Rc::from(""), |p| Rc::clone(&p.machine))
+}
+
+impl Job {
+    /// How long a task of this job typically runs: by its own completed tasks,
+    /// or by the owner's estimate, which is often wrong.
+    pub fn typical_run(&self) -> Micros {
+        if self.run_times.is_empty() {
+            return Micros::from_secs_f64(self.spec.estimate_s);
+        }
+        let mut times = self.run_times.clone();
+        times.sort_unstable();
+        times[times.len() / 2]
+    }
+}
--- /dev/null
+++ b/src/controller/placer.rs
@@ -0,0 +1,376 @@
+//! The queue of this process's seats, and where its tasks go.
+
+use super::fleet::fits;
+use super::place::{self, Candidate};
+use super::quota::{Amount, EPS};
+use super::Controller;
+use crate::peer::{Demand, Seen, SeenTask};
+use crate::time::Micros;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Least time between two passes: what happens meanwhile is dealt with together.
+const PASS: Micros = Micros::millis(20);
+
+/// A task booked on a machine.
+#[derive(Debug, Clone)]
+struct Booked {
+    rank: u32,
+    team: String,
+    amount: [f64; 3],
+    task: SeenTask,
+    stopping: bool,
+    ran: Micros,
+}
+
+/// A machine as a pass sees it.
+#[derive(Debug, Clone)]
+struct Slot {
+    machine: String,
+    machine_type: String,
+    zone: String,
+    spot: bool,
+    session: u64,
+    free: [f64; 3],
+    tasks: Vec<Booked>,
+}
+
+impl Controller {
+    /// Own jobs in order of service: teams within their guarantee first, then
+    /// priority, deadline and age.
+    pub(super) fn queue_order(&self) -> Vec<String> {
+        let used = self.team_usage();
+        let mut order: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| !j.cancelled && !j.over && j.pending() > 0)
+            .map(|(id, j)| {
+                let beyond = !self.within_guarantee(&used, &j.spec.team, [j.spec.cpus, j.spec.gpus]);
+                (beyond, j.rank(), j.due(), j.accepted, id.clone())
+            })
+            .collect();
+        order.sort();
+        order.into_iter().map(|(.., id)| id).collect()
+    }
+
+    fn within_guarantee(
+        &self,
+        used: &BTreeMap<String, Amount>,
+        team: &str,
+        more: Amount,
+    ) -> bool {
+        let Some(quota) = self.quotas.get(team) else {
+            return false;
+        };
+        let used = used.get(team).copied().unwrap_or_default();
+        [0, 1].iter().all(|r| more[*r] < EPS || used[*r] + more[*r] <= quota.guarantee[*r] + EPS)
+    }
+
+    /// What each team's tasks of all seats use, as far as heard.
+    fn team_usage(&self) -> BTreeMap<String, Amount> {
+        let mut used: BTreeMap<String, Amount> = BTreeMap::new();
+        for (s, w) in self.wants.iter().enumerate() {
+            if self.seats[s].mine.is_some() {
+                continue;
+            }
+            for t in w.machines.values().flat_map(|(_, tasks)| tasks) {
+                let u = used.entry(t.team.clone()).or_default();
+                u[0] += t.cpus;
+                u[1] += t.gpus;
+            }
+        }
+        for j in self.jobs.values() {
+            let n = f64::from(j.booked());
+            let u = used.entry(j.spec.team.clone()).or_default();
+            u[0] += n * j.spec.cpus;
+            u[1] += n * j.spec.gpus;
+        }
+        used
+    }
+
+    /// What a seat's tasks of a team use: from write-ahead until known gone.
+    pub(super) fn seat_usage(&self, s: usize, team: &str) -> Amount {
+        let mut used = [0.0, 0.0];
+        for j in self.jobs.values().filter(|j| j.seat == s && j.spec.team == team) {
+            let n = f64::from(j.booked());
+            used[0] += n * j.spec.cpus;
+            used[1] += n * j.spec.gpus;
+        }
+        used
+    }
+
+    fn slots(&self) -> Vec<Slot> {
+        let mut slots = Vec::new();
+        for (name, v) in &self.views {
+            let h = self.seat_of_machine(name);
+            let commanded = self.my_term(h).is_some()
+                || self.holder(h).is_some_and(|m| m != self.me && self.peer_alive(m));
+            if !v.known
+                || !v.healthy
+                || !commanded
+                || v.notice_ms.is_some()
+                || v.term != self.seats[h].term
+                || self.draining.contains(name)
+                || self.gone.contains(name)
+            {
+                continue;
+            }
+            let Some(t) = self.types.get(&v.machine_type) else {
+                continue;
+            };
+            let mut slot = Slot {
+                machine: name.clone(),
+                machine_type: v.machine_type.clone(),
+                zone: v.zone.clone(),
+                spot: v.spot,
+                session: v.session,
+                free: [t.cpus, t.gpus, t.memory_gb],
+                tasks: Vec::new(),
+            };
+            let over = |job: &str, index: u32, attempt: u64| {
+                v.tasks.iter().any(|t| {
+                    t.attempt == attempt && t.index == index && t.job == job && t.seen().over()
+                })
+            };
+            for (s, w) in self.wants.iter().enumerate() {
+                if self.seats[s].mine.is_some() {
+                    continue;
+                }
+                let tasks = w.machines.get(name).map_or(&[][..], |(_, tasks)| tasks);
+                for t in tasks {
+                    // Of another session: gone, and its seat will hear of it.
+                    if t.session != v.session || over(&t.job, t.index, t.attempt) {
+                        continue;
+                    }
+                    slot.book(Booked {
+                        rank: t.rank,
+                        team: t.team.clone(),
+                        amount: [t.cpus, t.gpus, t.memory_gb],
+                        task: SeenTask {
+                            job: t.job.clone(),
+                            index: t.index,
+                            attempt: t.attempt,
+                            seen: Seen::Running as i32,
+                        },
+                        stopping: t.stop_ms.is_some(),
+                        ran: Micros::ZERO,
+                    });
+                }
+            }
+            for s in 0..self.seats.len() {
+                let Some(tasks) = self.by_machine.get(&(s, Rc::from(name.as_str()))) else {
+                    continue;
+                };
+                for (id, index) in tasks {
+                    let Some(j) = self.jobs.get(id) else {
+                        continue;
+                    };
+                    let part = &j.parts[(*index / j.part_size) as usize];
+                    let Some(p) = part.placed.get(index).filter(|p| *p.machine == **name) else {
+                        continue;
+                    };
+                    slot.book(Booked {
+                        rank: j.rank(),
+                        team: j.spec.team.clone(),
+                        amount: [j.spec.cpus, j.spec.gpus, j.spec.memory_gb],
+                        task: SeenTask {
+                            job: id.clone(),
+                            index: *index,
+                            attempt: p.attempt,
+                            seen: Seen::Running as i32,
+                        },
+                        stopping: p.stop.is_some(),
+                        ran: p.running_since.map_or(Micros::ZERO, |at| self.now.since(at)),
+                    });
+                }
+            }
+            // Tasks that nobody is known to want take room of unknown size.
+            let strange = v.tasks.iter().any(|t| {
+                !t.seen().over()
+                    && !slot
+                        .tasks
+                        .iter()
+                        .any(|b| b.task.attempt == t.attempt && b.task.index == t.index && b.task.job == t.job)
+            });
+            if !strange {
+                slots.push(slot);
+            }
+        }
+        slots
+    }
+
+    /// One pass over the queue.
+    pub(super) fn place(&mut self) {
+        if !self.place_wanted || self.now < self.placed_at + PASS || self.types.is_empty() {
+            return;
+        }
+        self.place_wanted = false;
+        self.placed_at = self.now;
+        let order = self.queue_order();
+        if order.is_empty() {
+            return;
+        }
+        let mut slots = self.slots();
+        for id in order {
+            self.place_job(&id, &mut slots);
+        }
+    }
+
+    fn place_job(&mut self, id: &str, slots: &mut [Slot]) {
+        let now = self.now;
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let (s, spec) = (job.seat, Rc::clone(&job.spec));
+        if !self.runs(s) {
+            return;
+        }
+        if now < job.not_before {
+            if let Some(j) = self.jobs.get_mut(id) {
+                j.waits = "backed off after failures";
+            }
+            return;
+        }
+        let need = [spec.cpus, spec.gpus, spec.memory_gb];
+        let grant = self.quotas.get(&spec.team).map_or([0.0, 0.0], |q| q.grant(s));
+        let mut used = self.seat_usage(s, &spec.team);
+        let slack = place::slack(&self.options, spec.image_gb);
+        let avoid = job.avoid.clone();
+        let mut zones = job.zones();
+        let reason = loop {
+            let Some(job) = self.jobs.get(id) else {
+                return;
+            };
+            let Some(index) = job.first_pending() else {
+                break "starting";
+            };
+            if (0..2).any(|r| need[r] > 0.0 && used[r] + need[r] > grant[r] + EPS) {
+                break "the team's limit";
+            }
+            let candidates: Vec<Candidate<'_>> = slots
+                .iter()
+                .filter(|m| {
+                    spec.types.as_ref().is_none_or(|l| l.contains(&m.machine_type))
+                        && (spec.spot || !m.spot)
+                        && job.zone_allows(&zones, &m.zone)
+                        && !avoid.contains(m.machine.as_str())
+                        && fits(&m.free, &need) > 0
+                })
+                .map(|m| Candidate {
+                    machine: &m.machine,
+                    booked: m.tasks.len() as u32,
+                    free_cpus: m.free[0],
+                    holds_image: self.images.holds(now, &spec.image, &m.machine, m.session),
+                })
+                .collect();
+            let Some(chosen) = place::choose(&candidates, slack) else {
+                break "no machine with room";
+            };
+            let hit = candidates.iter().any(|c| c.machine == chosen && c.holds_image);
+            let Some(at) = slots.iter().position(|m| m.machine == chosen) else {
+                break "no machine with room";
+            };
+            let slot = &mut slots[at];
+            let Some(job) = self.jobs.get_mut(id) else {
+                return;
+            };
+            let Some(attempt) = job.put(now, index, &slot.machine, slot.session, &slot.zone)
+            else {
+                break "no machine with room";
+            };
+            self.counts.placed += 1;
+            self.counts.image_hits += u64::from(hit);
+            log::debug!("task {id}/{index} attempt {attempt} goes to {}", slot.machine);
+            *zones.entry(Rc::from(slot.zone.as_str())).or_insert(0) += 1;
+            used[0] += need[0];
+            used[1] += need[1];
+            slot.book(Booked {
+                rank: job.rank(),
+                team: spec.team.clone(),
+                amount: need,
+                task: SeenTask {
+                    job: id.to_string(),
+                    index,
+                    attempt,
+                    seen: Seen::Sent as i32,
+                },
+                stopping: false,
+                ran: Micros::ZERO,
+            });
+            self.images.note(now, &spec.image, &slot.machine, slot.session);
+            self.by_machine
+                .entry((s, Rc::from(slot.machine.as_str())))
+                .or_default()
+                .insert((id.to_string(), index));
+            self.dirty_jobs.insert(id.to_string());
+        };
+        if let Some(j) = self.jobs.get_mut(id) {
+            j.waits = reason;
+        }
+    }
+
+    /// Waiting tasks by shape, as far as their teams' limits let them run.
+    pub(super) fn demand(&self) -> Vec<Demand> {
+        let usage = self.team_usage();
+        let mut room: BTreeMap<&str, Amount> = BTreeMap::new();
+        let mut list: Vec<Demand> = Vec::new();
+        for id in self.queue_order() {
+            let Some(j) = self.jobs.get(&id).filter(|j| self.now >= j.not_before) else {
+                continue;
+            };
+            let spec = &j.spec;
+            let Some(quota) = self.quotas.get(&spec.team) else {
+                continue;
+            };
+            let left = room.entry(&spec.team).or_insert_with(|| {
+                let used = usage.get(&spec.team).copied().unwrap_or_default();
+                [0, 1].map(|r| (quota.limit[r] - used[r]).max(0.0))
+            });
+            let can = fits(&[left[0], left[1], f64::INFINITY], &[spec.cpus, spec.gpus, 0.0]);
+            let tasks = j.pending().min(can);
+            if tasks == 0 {
+                continue;
+            }
+            left[0] -= f64::from(tasks) * spec.cpus;
+            left[1] -= f64::from(tasks) * spec.gpus;
+            list.push(Demand {
+                tasks,
+                cpus: spec.cpus,
+                gpus: spec.gpus,
+                memory_gb: spec.memory_gb,
+                types: spec.types.clone().unwrap_or_default(),
+                zone: spec.zone.clone(),
+                spot: spec.spot,
+            });
+            if list.len() >= 200 {
+                break;
+            }
+        }
+        list
+    }
+
+    /// Room that is free on known machines, for the renting seat.
+    pub(super) fn free_rooms(&self) -> BTreeMap<String, (super::fleet::Room, usize)> {
+        self.slots()
+            .into_iter()
+            .map(|s| {
+                let room = super::fleet::Room {
+                    machine_type: s.machine_type,
+                    zone: s.zone,
+                    spot: s.spot,
+                    free: s.free,
+                };
+                (s.machine, (room, s.tasks.len()))
+            })
+            .collect()
+    }
+}
+
+impl Slot {
+    fn book(&mut self, b: Booked) {
+        for (f, a) in self.free.iter_mut().zip(b.amount) {
+            *f -= a;
+        }
+        self.tasks.push(b);
+    }
+}
--- /dev/null
+++ b/src/controller/renter.rs
@@ -0,0 +1,291 @@
+//! Talking to the cloud: types, lists, rents and returns.
+
+use super::fleet::{self, RENTING_SEAT, Rented, Room};
+use super::{Controller, Op};
+use crate::cloud::{CloudCall, CloudReply};
+use crate::peer::Demand;
+use crate::time::Micros;
+use crate::wire::{ListedMachine, MachineStage, RentRequest};
+use log::{info, warn};
+use std::collections::BTreeMap;
+
+/// Between lists of the machines.
+const LIST_EVERY: Micros = Micros::millis(2_000);
+/// Between plans.
+const PLAN_EVERY: Micros = Micros::millis(1_000);
+/// Between looks at the types and their prices.
+const TYPES_EVERY: Micros = Micros::secs(300);
+/// A machine must have been spared by the placers for this long before it is
+/// returned: a decision made before the news of it may still be on its way.
+const DRAIN: Micros = Micros::secs(4);
+/// A machine that is not up after so many times its boot time never will be.
+const BOOT_FACTOR: u64 = 5;
+
+impl Controller {
+    pub(super) fn tend_fleet(&mut self) {
+        let now = self.now;
+        // Every node needs the types, the renting one also their prices.
+        let wait = if self.types.is_empty() { Micros::millis(700) } else { TYPES_EVERY };
+        if now >= self.fleet.types_at {
+            self.fleet.types_at = now + wait;
+            self.cloud(Op::Types, CloudCall::Types);
+        }
+        let Some(term) = self.my_term(RENTING_SEAT) else {
+            return;
+        };
+        if now >= self.fleet.list_at && self.fleet.listing.is_none() {
+            self.fleet.list_at = now + LIST_EVERY;
+            self.fleet.listing = Some((now, Vec::new()));
+            let op = Op::ListMachines { asked: now, term };
+            self.cloud(op, CloudCall::List { after: None });
+        }
+        if self.fleet.request.is_some() && !self.fleet.busy && now >= self.fleet.request_at {
+            self.send_rent(term);
+        }
+        if self.fleet.listed && !self.types.is_empty() && now >= self.fleet.plan_at {
+            self.fleet.plan_at = now + PLAN_EVERY;
+            self.plan_returns();
+            if self.fleet.request.is_none() {
+                self.plan_rent(term);
+            }
+        }
+    }
+
+    fn send_rent(&mut self, term: u64) {
+        if let Some(request) = self.fleet.request.clone() {
+            self.fleet.busy = true;
+            self.cloud(Op::Rent { term }, CloudCall::Rent(request));
+        }
+    }
+
+    /// Everything that waits, here and at the peers.
+    fn all_demand(&self) -> Vec<Demand> {
+        let mut all = self.demand();
+        for (n, p) in &self.peers {
+            if self.peer_alive(*n) {
+                all.extend(p.demand.iter().cloned());
+            }
+        }
+        all
+    }
+
+    fn plan_rent(&mut self, term: u64) {
+        let now = self.now;
+        let mut demand = self.all_demand();
+        for d in &mut demand {
+            // Spare room, so that what comes next finds a machine that is up.
+            let spare = (f64::from(d.tasks) * self.options.spare_share).ceil();
+            d.tasks = d.tasks.saturating_add(spare as u32);
+        }
+        let mut rooms: Vec<Room> =
+            self.free_rooms().into_values().map(|(room, _)| room).collect();
+        for (name, m) in &self.fleet.machines {
+            let up = self.views.get(name).is_some_and(|v| v.known);
+            if up || m.stage == MachineStage::Failed || self.fleet.draining.contains_key(name) {
+                continue;
+            }
+            if let Some(t) = self.types.get(&m.machine_type) {
+                rooms.push(Room {
+                    machine_type: m.machine_type.clone(),
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    free: [t.cpus, t.gpus, t.memory_gb],
+                });
+            }
+        }
+        let rest = fleet::unmet(&demand, &mut rooms);
+        let next = fleet::next_request(
+            &rest,
+            &self.types,
+            &self.fleet.machines,
+            &self.fleet.refused,
+            now,
+        );
+        let Some(((machine_type, zone, spot), count)) = next else {
+            return;
+        };
+        self.fleet.count += 1;
+        // The term is this holding's alone, so the name is too.
+        let request = format!("r-{RENTING_SEAT}-{term}-{}", self.fleet.count);
+        info!("renting {count} {machine_type} in {zone}, spot {spot}");
+        self.fleet.request = Some(RentRequest { request, machine_type, zone, spot, count });
+        self.send_rent(term);
+    }
+
+    fn plan_returns(&mut self) {
+        let now = self.now;
+        let rooms = self.free_rooms();
+        let idle = self.options.idle;
+        let waiting = !self.all_demand().is_empty();
+        let mut drain: Vec<String> = Vec::new();
+        let mut give: Vec<String> = Vec::new();
+        for (name, m) in &mut self.fleet.machines {
+            let view = self.views.get(name);
+            let boot = self
+                .types
+                .get(&m.machine_type)
+                .map_or(Micros::secs(60), |t| Micros::from_secs_f64(t.boot_s));
+            let never_up = view.is_none()
+                && m.stage != MachineStage::Running
+                && now.since(m.since) > Micros(boot.0 * BOOT_FACTOR) + Micros::secs(30);
+            if m.stage == MachineStage::Failed || never_up {
+                give.push(name.clone());
+                continue;
+            }
+            let busy = view.is_some_and(|v| v.tasks.iter().any(|t| !t.seen().over()))
+                || rooms.get(name).is_some_and(|(_, tasks)| *tasks > 0);
+            if view.is_some_and(|v| v.faulty) {
+                drain.push(name.clone());
+            }
+            let known = view.is_some_and(|v| v.known && v.healthy);
+            if busy || waiting || !known {
+                m.idle_since = None;
+            } else if now.since(*m.idle_since.get_or_insert(now)) > idle {
+                drain.push(name.clone());
+            }
+            if self.fleet.draining.get(name).is_some_and(|at| now.since(*at) > DRAIN) && !busy {
+                give.push(name.clone());
+            }
+        }
+        for name in drain {
+            if !self.fleet.draining.contains_key(&name) {
+                info!("machine {name} is to be returned");
+                self.fleet.draining.insert(name.clone(), now);
+                self.draining.insert(name);
+            }
+        }
+        give.retain(|n| !self.fleet.returning.contains(n));
+        give.truncate(20);
+        if !give.is_empty() {
+            self.fleet.returning.extend(give.iter().cloned());
+            self.cloud(Op::Return { names: give.clone() }, CloudCall::Return(give));
+        }
+    }
+
+    pub(super) fn cloud_reply(&mut self, op: Op, reply: CloudReply) {
+        let now = self.now;
+        match (op, reply) {
+            (Op::Types, CloudReply::Types(types)) => {
+                if self.types.is_empty() {
+                    info!("{} machine types known", types.len());
+                }
+                self.types = types.into_iter().map(|t| (t.name.clone(), t)).collect();
+                self.place_wanted = true;
+                self.dirty_posts.extend(self.posts.keys().cloned());
+            }
+            (Op::Types, _) => self.fleet.types_at = now + Micros::secs(1),
+            (Op::Rent { term }, reply) => {
+                if self.my_term(RENTING_SEAT) == Some(term) {
+                    self.rent_reply(reply);
+                }
+            }
+            (Op::Return { names }, CloudReply::Returned) => {
+                // By now the machines and everything on them are gone.
+                for name in names {
+                    self.note_gone.push(name.clone());
+                    self.machine_gone(&name);
+                    self.fleet.forget(&name);
+                }
+            }
+            (Op::Return { names }, _) => {
+                for name in names {
+                    self.fleet.returning.remove(&name);
+                }
+            }
+            (Op::ListMachines { asked, term }, reply) => {
+                if self.my_term(RENTING_SEAT) == Some(term) {
+                    self.list_reply(asked, term, reply);
+                }
+            }
+            (op, _) => warn!("unexpected reply to {op:?}"),
+        }
+    }
+
+    fn rent_reply(&mut self, reply: CloudReply) {
+        let now = self.now;
+        self.fleet.busy = false;
+        let Some(request) = self.fleet.request.clone() else {
+            return;
+        };
+        let offer = (request.machine_type.clone(), request.zone.clone(), request.spot);
+        match reply {
+            CloudReply::Rented(names) => {
+                info!("rented {} of {}: {}", names.len(), request.count, names.join(" "));
+                if names.len() < request.count as usize {
+                    self.fleet.refused.insert(offer, now + self.options.refused);
+                }
+                for name in names {
+                    self.fleet.machines.entry(name).or_insert_with(|| Rented {
+                        machine_type: request.machine_type.clone(),
+                        zone: request.zone.clone(),
+                        spot: request.spot,
+                        stage: MachineStage::Booting,
+                        since: now,
+                        listed: None,
+                        idle_since: None,
+                    });
+                }
+                self.fleet.request = None;
+                self.fleet.plan_at = now + Micros::millis(250);
+            }
+            CloudReply::NoCapacity => {
+                self.fleet.refused.insert(offer, now + self.options.refused);
+                self.fleet.request = None;
+                self.fleet.plan_at = now + Micros::millis(250);
+            }
+            // Repeated under its name until it is known what became of it:
+            // under another name it could rent twice.
+            _ => self.fleet.request_at = now + Micros::millis(1_500),
+        }
+    }
+
+    fn list_reply(&mut self, asked: Micros, term: u64, reply: CloudReply) {
+        let now = self.now;
+        let Some((_, mut list)) = self.fleet.listing.take() else {
+            return;
+        };
+        let CloudReply::Page { machines, more } = reply else {
+            return;
+        };
+        let last = machines.last().map(|m| m.name.clone());
+        list.extend(machines);
+        if let (true, Some(after)) = (more, last) {
+            self.fleet.listing = Some((asked, list));
+            let op = Op::ListMachines { asked, term };
+            return self.cloud(op, CloudCall::List { after: Some(after) });
+        }
+        // Failed machines stay listed until they are deleted.
+        list.retain(|m| m.stage == MachineStage::Failed || !self.gone.contains(&m.name));
+        let lag = Micros::from_secs_f64(self.settings.cloud.list_lag_s);
+        let mut gone = self.fleet.take_list(now, asked, &list, lag);
+        gone.extend(failed(&list));
+        for name in gone {
+            if !self.gone.contains(&name) {
+                self.note_gone.push(name.clone());
+                self.machine_gone(&name);
+            }
+        }
+    }
+}
+
+fn failed(list: &[ListedMachine]) -> impl Iterator<Item = String> {
+    list.iter().filter(|m| m.stage == MachineStage::Failed).map(|m| m.name.clone())
+}
+
+/// What a status page tells of the fleet.
+impl fleet::Fleet {
+    /// Machines by stage.
+    pub fn stages(&self) -> BTreeMap<&'static str, usize> {
+        let mut counts = BTreeMap::new();
+        for m in self.machines.values() {
+            let word = match m.stage {
+                MachineStage::Booting => "booting",
+                MachineStage::Running => "running",
+                MachineStage::Failed => "failed",
+                MachineStage::Other => "other",
+            };
+            *counts.entry(word).or_insert(0) += 1;
+        }
+        counts
+    }
+}
--- /dev/null
+++ b/src/controller/seat.rs
@@ -0,0 +1,202 @@
+//! Seats: who may act for which machines and jobs.
+//!
+//! `seat/S` keeps a term that only rises, `hold/S` names the holder under the
+//! holder's state lease. Both change in one transaction, so the version of
+//! `hold/S` identifies a term, and everything a holder writes is conditional
+//! on that version: a late transaction of an earlier holder fails.
+
+use crate::time::Micros;
+use crate::wire::{Condition, Item, Txn, Write};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+/// Parts per thousand that two steady clocks may differ, both ways together.
+pub const DRIFT: u64 = 1;
+
+/// Value of `hold/S`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hold {
+    /// Holder.
+    pub member: String,
+    /// Its run: tells an earlier process of the same name from this one.
+    pub run: u64,
+    /// Term.
+    pub term: u64,
+    /// State lease it hangs on.
+    pub lease: u64,
+}
+
+/// Value of `seat/S`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Term {
+    /// Highest term ever taken.
+    pub term: u64,
+}
+
+/// A seat that this process holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Mine {
+    /// Term.
+    pub term: u64,
+    /// Version of `hold/S`: condition of every write.
+    pub mark: u64,
+    /// When this process learnt that it holds the seat: no earlier holder
+    /// acted after that.
+    pub taken: Micros,
+    /// Its jobs have been read.
+    pub loaded: bool,
+    /// It is about to be handed back; nothing new is begun.
+    pub releasing: bool,
+}
+
+/// A seat as this process knows it.
+#[derive(Debug, Clone, Default)]
+pub struct Seat {
+    /// Holder in the state service, with the version of `hold/S`.
+    pub hold: Option<(Hold, u64)>,
+    /// Version of `seat/S`, 0 for none.
+    pub term_mark: u64,
+    /// Highest term known.
+    pub term: u64,
+    /// Since when nobody holds it.
+    pub free_since: Micros,
+    /// Held by this process.
+    pub mine: Option<Mine>,
+    /// A take or a release is under way.
+    pub busy: bool,
+}
+
+/// Key of a seat's term.
+pub fn term_key(seat: usize) -> String {
+    format!("seat/{seat}")
+}
+
+/// Key of a seat's holder.
+pub fn hold_key(seat: usize) -> String {
+    format!("hold/{seat}")
+}
+
+/// Number of the seat in a key.
+pub fn seat_of_key(key: &str) -> Option<usize> {
+    key.rsplit('/').next()?.parse().ok()
+}
+
+/// The seat of a machine: a fixed function of its name, the same on every
+/// node and in every run. FNV-1a, since the standard library's hasher may
+/// change between releases.
+pub fn seat_of_machine(name: &str, seats: usize) -> usize {
+    let hash = name
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    // The low bits of FNV of names that differ in their last digit run in
+    // step; folding the high half in spreads them.
+    ((hash ^ (hash >> 32)) % seats.max(1) as u64) as usize
+}
+
+impl Seat {
+    /// Takes in what `hold/S` holds.
+    pub fn see_hold(&mut self, now: Micros, item: Option<&Item>) {
+        let held = item.and_then(|i| {
+            let hold: Hold = serde_json::from_value(i.value.clone()).ok()?;
+            Some((hold, i.version))
+        });
+        match held {
+            Some((hold, mark)) => {
+                // Both keys change in one transaction and so share its revision.
+                if mark >= self.term_mark {
+                    self.term_mark = mark;
+                    self.term = self.term.max(hold.term);
+                }
+                self.hold = Some((hold, mark));
+            }
+            None => {
+                if self.hold.take().is_some() || self.free_since == Micros::ZERO {
+                    self.free_since = now;
+                }
+            }
+        }
+    }
+
+    /// Takes in what `seat/S` holds.
+    pub fn see_term(&mut self, item: &Item) {
+        if let Ok(term) = serde_json::from_value::<Term>(item.value.clone())
+            && item.version >= self.term_mark
+        {
+            self.term_mark = item.version;
+            self.term = self.term.max(term.term);
+        }
+    }
+
+    /// The version of `hold/S` on which a take may be conditional: 0 if it is
+    /// gone, its own if an earlier run of `member` left it; `None` if it is
+    /// somebody's. Taking a living holder's seat would let two act at once.
+    pub fn takeable(&self, member: &str, run: u64) -> Option<u64> {
+        match &self.hold {
+            None => Some(0),
+            Some((h, mark)) if h.member == member && h.run != run => Some(*mark),
+            Some(_) => None,
+        }
+    }
+
+    /// The transaction that takes the seat, and its new term.
+    pub fn take(&self, seat: usize, mark: u64, member: &str, run: u64, lease: u64) -> (Txn, u64) {
+        let term = self.term + 1;
+        let hold = Hold { member: member.to_string(), run, term, lease };
+        let txn = Txn {
+            conditions: vec![
+                Condition { key: hold_key(seat), version: mark },
+                Condition { key: term_key(seat), version: self.term_mark },
+            ],
+            writes: vec![
+                Write::Put { key: hold_key(seat), value: json!(hold), lease: Some(lease) },
+                Write::Put { key: term_key(seat), value: json!(Term { term }), lease: None },
+            ],
+        };
+        (txn, term)
+    }
+
+    /// The transaction that gives the seat up.
+    pub fn release(seat: usize, mark: u64) -> Txn {
+        Txn {
+            conditions: vec![Condition { key: hold_key(seat), version: mark }],
+            writes: vec![Write::Delete { key: hold_key(seat) }],
+        }
+    }
+}
+
+/// This process's state lease.
+#[derive(Debug, Clone, Default)]
+pub struct Lease {
+    /// Its number.
+    pub id: Option<u64>,
+    /// Until when it is surely valid, by this process's clock.
+    pub valid_until: Micros,
+    /// When to renew it.
+    pub renew_at: Micros,
+    /// A grant or a renewal is under way.
+    pub busy: bool,
+    /// Counts leases: what was asked under an earlier one is ignored.
+    pub epoch: u64,
+}
+
+impl Lease {
+    /// A grant or renewal that was *sent* at `sent` succeeded. Counting from
+    /// the answer would overstate it by the time that the answer took.
+    pub fn extended(&mut self, sent: Micros, ttl: Micros) {
+        let until = sent + ttl.shortened(DRIFT).since(Micros::millis(50));
+        self.valid_until = self.valid_until.max(until);
+        self.renew_at = sent + Micros(ttl.0 / 4);
+    }
+
+    /// The lease is gone, and every seat with it.
+    pub fn lost(&mut self) {
+        self.id = None;
+        self.valid_until = Micros::ZERO;
+        self.epoch += 1;
+    }
+
+    /// True while this process may act.
+    pub fn valid(&self, now: Micros) -> bool {
+        self.id.is_some() && now < self.valid_until
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,14 @@
+//! millethold: a cluster scheduler whose controllers share the work.
+//!
+//! The [`controller`] is pure: time and events go in, effects come out. The
+//! [`runtime`] does all input and output around it. See `docs/design.md`.
+
+pub mod cloud;
+pub mod config;
+pub mod controller;
+pub mod http;
+pub mod peer;
+pub mod runtime;
+pub mod state;
+pub mod time;
+pub mod wire;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,54 @@
+//! The program: reads its command line and settings, then runs a controller.
+
+use clap::Parser;
+use millethold::config::{Config, Options};
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A cluster scheduler whose controllers share the work.
+#[derive(Parser)]
+#[command(version, about)]
+struct Args {
+    /// The platform's settings file (TOML).
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// The operators' own options (INI); every option has a default.
+    #[arg(long, value_name = "FILE")]
+    options: Option<PathBuf>,
+    /// Check the settings and exit.
+    #[arg(long)]
+    check_config: bool,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    env_logger::Builder::new()
+        .parse_env(env_logger::Env::new().filter_or("LOG_LEVEL", "info"))
+        .format(|out, record| {
+            writeln!(out, "{} {}: {}", record.level(), record.target(), record.args())
+        })
+        .init();
+    let loaded = Config::load(&args.config).and_then(|config| {
+        let options = args.options.as_deref().map_or(Ok(Options::default()), Options::load)?;
+        Ok((config, options))
+    });
+    let (config, options) = match loaded {
+        Ok(pair) => pair,
+        Err(e) => {
+            eprintln!("millethold: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    if args.check_config {
+        println!("settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    match millethold::runtime::run(config, options, rand::random()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("millethold: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,347 @@
+//! What controllers tell each other, as length-prefixed `prost` frames.
+//!
+//! Everything here is whole-state: a lost frame is made good by the next one
+//! about the same thing, so nothing needs an answer.
+
+use prost::Message;
+
+/// Largest frame taken from a peer; a larger one ends the connection.
+pub const MAX_FRAME: usize = 4 * 1024 * 1024;
+
+/// A seat as its holder sees it.
+#[derive(Clone, PartialEq, Message)]
+pub struct HeldSeat {
+    /// Number of the seat.
+    #[prost(uint32, tag = "1")]
+    pub seat: u32,
+    /// Its term.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+}
+
+/// A task that a seat wants on a machine, or wants stopped there.
+#[derive(Clone, PartialEq, Message)]
+pub struct WantedTask {
+    /// Job.
+    #[prost(string, tag = "1")]
+    pub job: String,
+    /// Number of the task in its job.
+    #[prost(uint32, tag = "2")]
+    pub index: u32,
+    /// Attempt.
+    #[prost(uint64, tag = "3")]
+    pub attempt: u64,
+    /// Session of the machine for which it was written ahead.
+    #[prost(uint64, tag = "4")]
+    pub session: u64,
+    /// CPUs.
+    #[prost(double, tag = "5")]
+    pub cpus: f64,
+    /// GPUs.
+    #[prost(double, tag = "6")]
+    pub gpus: f64,
+    /// Memory.
+    #[prost(double, tag = "7")]
+    pub memory_gb: f64,
+    /// Image.
+    #[prost(string, tag = "8")]
+    pub image: String,
+    /// Size of the image.
+    #[prost(double, tag = "9")]
+    pub image_gb: f64,
+    /// Stop it, giving it this many milliseconds to save.
+    #[prost(uint64, optional, tag = "10")]
+    pub stop_ms: Option<u64>,
+    /// Rank of service: lower is more urgent.
+    #[prost(uint32, tag = "11")]
+    pub rank: u32,
+    /// Team.
+    #[prost(string, tag = "12")]
+    pub team: String,
+}
+
+/// All that a seat wants on one machine.
+#[derive(Clone, PartialEq, Message)]
+pub struct MachineWants {
+    /// Machine.
+    #[prost(string, tag = "1")]
+    pub machine: String,
+    /// The tasks.
+    #[prost(message, repeated, tag = "2")]
+    pub tasks: Vec<WantedTask>,
+}
+
+/// A seat's wants: of some machines, or of all.
+#[derive(Clone, PartialEq, Message)]
+pub struct SeatWants {
+    /// Seat.
+    #[prost(uint32, tag = "1")]
+    pub seat: u32,
+    /// Term under which it asks.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Order within the term.
+    #[prost(uint64, tag = "3")]
+    pub seq: u64,
+    /// True: machines that are not named have no wants of this seat.
+    #[prost(bool, tag = "4")]
+    pub complete: bool,
+    /// The machines.
+    #[prost(message, repeated, tag = "5")]
+    pub machines: Vec<MachineWants>,
+}
+
+/// A task on a machine, as the machine's seat knows it.
+#[derive(Clone, PartialEq, Message)]
+pub struct SeenTask {
+    /// Job.
+    #[prost(string, tag = "1")]
+    pub job: String,
+    /// Number of the task in its job.
+    #[prost(uint32, tag = "2")]
+    pub index: u32,
+    /// Attempt.
+    #[prost(uint64, tag = "3")]
+    pub attempt: u64,
+    /// See [`Seen`]; a word of a later version reads as the first one, from
+    /// which nothing is concluded.
+    #[prost(enumeration = "Seen", tag = "4")]
+    pub seen: i32,
+}
+
+/// How a task stands on its machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Seen {
+    /// A start may be on its way.
+    Sent = 0,
+    /// Waits for its image.
+    Fetching = 1,
+    /// Runs.
+    Running = 2,
+    /// Saves.
+    Saving = 3,
+    /// Completed.
+    Done = 4,
+    /// Stopped by command.
+    Stopped = 5,
+    /// Failed.
+    Failed = 6,
+    /// The machine or its seat had no room: it never ran there.
+    Refused = 7,
+    /// Admitted, waiting for a stopping task's room.
+    Waiting = 8,
+}
+
+impl Seen {
+    /// Over on this machine.
+    pub fn over(self) -> bool {
+        matches!(self, Seen::Done | Seen::Stopped | Seen::Failed | Seen::Refused)
+    }
+}
+
+/// Which wants of a seat the machine's seat acts on.
+#[derive(Clone, PartialEq, Message)]
+pub struct Heard {
+    /// The asking seat.
+    #[prost(uint32, tag = "1")]
+    pub seat: u32,
+    /// Its term.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Its newest message.
+    #[prost(uint64, tag = "3")]
+    pub seq: u64,
+}
+
+/// A machine as its seat knows it.
+#[derive(Clone, PartialEq, Message)]
+pub struct MachineView {
+    /// Name.
+    #[prost(string, tag = "1")]
+    pub machine: String,
+    /// Its seat's term.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Order within the term.
+    #[prost(uint64, tag = "3")]
+    pub seq: u64,
+    /// Has reported under this term.
+    #[prost(bool, tag = "4")]
+    pub known: bool,
+    /// Session of the newest report.
+    #[prost(uint64, tag = "5")]
+    pub session: u64,
+    /// Sessions up to this one are surely over.
+    #[prost(uint64, tag = "6")]
+    pub over_through: u64,
+    /// Never reported under this term, and every older session is over.
+    #[prost(bool, tag = "7")]
+    pub vanished: bool,
+    /// Type.
+    #[prost(string, tag = "8")]
+    pub machine_type: String,
+    /// Zone.
+    #[prost(string, tag = "9")]
+    pub zone: String,
+    /// Spot machine.
+    #[prost(bool, tag = "10")]
+    pub spot: bool,
+    /// Address for direct commands.
+    #[prost(string, tag = "11")]
+    pub address: String,
+    /// Milliseconds until the cloud takes it.
+    #[prost(uint64, optional, tag = "12")]
+    pub notice_ms: Option<u64>,
+    /// Reports in time and does not fail its tasks.
+    #[prost(bool, tag = "13")]
+    pub healthy: bool,
+    /// Its tasks.
+    #[prost(message, repeated, tag = "14")]
+    pub tasks: Vec<SeenTask>,
+    /// Wants that this view takes into account.
+    #[prost(message, repeated, tag = "15")]
+    pub heard: Vec<Heard>,
+    /// Fails what it starts; its seat wants it returned.
+    #[prost(bool, tag = "16")]
+    pub faulty: bool,
+}
+
+/// A job's progress for display.
+#[derive(Clone, PartialEq, Message)]
+pub struct Progress {
+    /// Job.
+    #[prost(string, tag = "1")]
+    pub job: String,
+    /// Tasks done.
+    #[prost(uint32, tag = "2")]
+    pub done: u32,
+    /// Tasks running.
+    #[prost(uint32, tag = "3")]
+    pub running: u32,
+}
+
+/// Waiting tasks of one shape.
+#[derive(Clone, PartialEq, Message)]
+pub struct Demand {
+    /// How many tasks wait.
+    #[prost(uint32, tag = "1")]
+    pub tasks: u32,
+    /// CPUs of each.
+    #[prost(double, tag = "2")]
+    pub cpus: f64,
+    /// GPUs of each.
+    #[prost(double, tag = "3")]
+    pub gpus: f64,
+    /// Memory of each.
+    #[prost(double, tag = "4")]
+    pub memory_gb: f64,
+    /// Allowed types; none named: all.
+    #[prost(string, repeated, tag = "5")]
+    pub types: Vec<String>,
+    /// Allowed zone.
+    #[prost(string, optional, tag = "6")]
+    pub zone: Option<String>,
+    /// May use spot machines.
+    #[prost(bool, tag = "7")]
+    pub spot: bool,
+}
+
+/// What a seat lacks of a team's limit.
+#[derive(Clone, PartialEq, Message)]
+pub struct QuotaNeed {
+    /// Seat.
+    #[prost(uint32, tag = "1")]
+    pub seat: u32,
+    /// Team.
+    #[prost(string, tag = "2")]
+    pub team: String,
+    /// CPUs that waiting tasks lack.
+    #[prost(double, tag = "3")]
+    pub cpus: f64,
+    /// CPUs in use.
+    #[prost(double, tag = "4")]
+    pub used: f64,
+}
+
+/// One message between controllers.
+#[derive(Clone, PartialEq, Message)]
+pub struct Frame {
+    /// Sender.
+    #[prost(string, tag = "1")]
+    pub member: String,
+    /// The sender's run: a number drawn when its process started.
+    #[prost(uint64, tag = "2")]
+    pub run: u64,
+    /// Seats that the sender holds at present, as far as it may act.
+    #[prost(message, repeated, tag = "3")]
+    pub held: Vec<HeldSeat>,
+    /// The sender's state lease is valid.
+    #[prost(bool, tag = "4")]
+    pub state_ok: bool,
+    /// Wants.
+    #[prost(message, repeated, tag = "5")]
+    pub wants: Vec<SeatWants>,
+    /// Machines.
+    #[prost(message, repeated, tag = "6")]
+    pub views: Vec<MachineView>,
+    /// Progress of jobs.
+    #[prost(message, repeated, tag = "7")]
+    pub progress: Vec<Progress>,
+    /// Everything that waits at the sender; replaces what it said before.
+    #[prost(message, repeated, tag = "8")]
+    pub demand: Vec<Demand>,
+    /// True if `demand` and `needs` are meant to be taken.
+    #[prost(bool, tag = "9")]
+    pub has_demand: bool,
+    /// Limits that its seats run into.
+    #[prost(message, repeated, tag = "10")]
+    pub needs: Vec<QuotaNeed>,
+    /// Jobs that the sender has just cancelled.
+    #[prost(string, repeated, tag = "11")]
+    pub cancelled: Vec<String>,
+    /// Machines that the renting seat knows to be gone.
+    #[prost(string, repeated, tag = "12")]
+    pub gone: Vec<String>,
+    /// Machines that the renting seat is about to return; all of them.
+    #[prost(string, repeated, tag = "13")]
+    pub draining: Vec<String>,
+    /// True if the sender rents and `draining` is meant to be taken.
+    #[prost(bool, tag = "14")]
+    pub rents: bool,
+    /// Tasks of other seats that the sender asks to be stopped for more
+    /// urgent ones.
+    #[prost(message, repeated, tag = "15")]
+    pub preempt: Vec<SeenTask>,
+}
+
+/// Appends a frame with its length in front.
+pub fn write_frame(out: &mut Vec<u8>, frame: &Frame) {
+    let len = frame.encoded_len();
+    out.reserve(len + 4);
+    out.extend_from_slice(&(len as u32).to_be_bytes());
+    // A Vec grows as needed, so encoding into it cannot run out of room.
+    let _ = frame.encode(out);
+}
+
+/// A frame that cannot be read; its connection must be closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadFrame;
+
+/// Reads a frame from the front of `buf`, with its length.
+pub fn read_frame(buf: &[u8]) -> Result<Option<(Frame, usize)>, BadFrame> {
+    let Some(head) = buf.first_chunk::<4>() else {
+        return Ok(None);
+    };
+    let len = u32::from_be_bytes(*head) as usize;
+    if len > MAX_FRAME {
+        return Err(BadFrame);
+    }
+    match buf.get(4..4 + len) {
+        None => Ok(None),
+        Some(body) => match Frame::decode(body) {
+            Ok(frame) => Ok(Some((frame, 4 + len))),
+            Err(_) => Err(BadFrame),
+        },
+    }
+}
--- /dev/null
+++ b/src/time.rs
@@ -0,0 +1,83 @@
+//! Points in time and spans, in whole microseconds.
+
+use std::ops::{Add, AddAssign, Sub};
+
+/// A span, or a point on this process's steady clock, in microseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Micros(pub u64);
+
+impl Micros {
+    /// No time at all.
+    pub const ZERO: Micros = Micros(0);
+    /// Later than every real point in time.
+    pub const FAR: Micros = Micros(u64::MAX / 4);
+
+    /// Whole seconds.
+    pub const fn secs(s: u64) -> Micros {
+        Micros(s * 1_000_000)
+    }
+
+    /// Whole milliseconds.
+    pub const fn millis(ms: u64) -> Micros {
+        Micros(ms * 1_000)
+    }
+
+    /// From the decimal seconds of the protocol; negative and non-finite become zero.
+    pub fn from_secs_f64(s: f64) -> Micros {
+        if s.is_finite() && s > 0.0 {
+            Micros((s * 1e6).min(1e18).round() as u64)
+        } else {
+            Micros::ZERO
+        }
+    }
+
+    /// Decimal seconds, for messages and logs.
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    /// Whole milliseconds, rounded down.
+    pub fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// The time since `earlier`, zero if that lies ahead.
+    pub fn since(self, earlier: Micros) -> Micros {
+        Micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Stretched by the parts per thousand that two steady clocks may differ.
+    pub fn stretched(self, per_mille: u64) -> Micros {
+        Micros(self.0 + self.0 / 1_000 * per_mille + per_mille)
+    }
+
+    /// Shortened by the same bound.
+    pub fn shortened(self, per_mille: u64) -> Micros {
+        Micros(self.0.saturating_sub(self.0 / 1_000 * per_mille + per_mille))
+    }
+
+    /// As the standard library's duration, for timers.
+    pub fn duration(self) -> std::time::Duration {
+        std::time::Duration::from_micros(self.0)
+    }
+}
+
+impl Add for Micros {
+    type Output = Micros;
+    fn add(self, other: Micros) -> Micros {
+        Micros(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Micros {
+    fn add_assign(&mut self, other: Micros) {
+        *self = *self + other;
+    }
+}
+
+impl Sub for Micros {
+    type Output = Micros;
+    fn sub(self, other: Micros) -> Micros {
+        self.since(other)
+    }
+}
