--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -55,11 +55,9 @@
     pub fn encode(&self) -> (&'static str, String, Option<Vec<u8>>) {
         match self {
             CloudCall::Types => ("GET", path::TYPES.into(), None),
-            CloudCall::Rent(r) => (
-                "POST",
-                path::MACHINES.into(),
-                Some(serde_json::to_vec(r).unwrap_or_default()),
-            ),
+            CloudCall::Rent(r) => {
+                ("POST", path::MACHINES.into(), Some(serde_json::to_vec(r).unwrap_or_default()))
+            }
             CloudCall::Return(names) => {
                 let body = MachineNames { machines: names.clone() };
                 ("POST", path::RETURN.into(), Some(serde_json::to_vec(&body).unwrap_or_default()))
--- a/src/config.rs
+++ b/src/config.rs
@@ -300,9 +300,9 @@
         for (section, properties) in ini.iter() {
             let section = section.unwrap_or("");
             for (key, value) in properties.iter() {
-                options.set(section, key, value).map_err(|why| {
-                    ConfigError(format!("[{section}] {key} = {value}: {why}"))
-                })?;
+                options
+                    .set(section, key, value)
+                    .map_err(|why| ConfigError(format!("[{section}] {key} = {value}: {why}")))?;
             }
         }
         Ok(options)
@@ -325,9 +325,7 @@
         }
         match (section, key) {
             ("placement", "slack_gb") => self.slack_gb = three(value, 1e6)?,
-            ("placement", "slack_tasks") => {
-                self.slack_tasks = three(value, 1e6)?.map(|x| x as u32)
-            }
+            ("placement", "slack_tasks") => self.slack_tasks = three(value, 1e6)?.map(|x| x as u32),
             ("placement", "index_entries") => {
                 self.index_entries = number(value, 1.0, 1e7)? as usize
             }
--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -42,7 +42,9 @@
             match rest.split_once('/') {
                 None => "GET",
                 Some((_, end)) if end == path::CANCEL => "POST",
-                Some(_) => return self.respond(ticket, 404, None, &json!({"error": "no such path"})),
+                Some(_) => {
+                    return self.respond(ticket, 404, None, &json!({"error": "no such path"}));
+                }
             }
         } else {
             return self.respond(ticket, 404, None, &json!({"error": "no such path"}));
@@ -199,11 +201,8 @@
         answer: &Value,
     ) {
         let body = serde_json::to_vec(answer).unwrap_or_default();
-        let op = Op::SubmitRead {
-            ticket,
-            job: id.to_string(),
-            otherwise: (status, retry_after, body),
-        };
+        let op =
+            Op::SubmitRead { ticket, job: id.to_string(), otherwise: (status, retry_after, body) };
         self.state(op, StateCall::Get(job::job_key(id)));
     }
 
@@ -299,15 +298,23 @@
             },
             Op::CancelRead { ticket, job, tries } => match self.read_record(&job, &reply) {
                 Some(Some((known, mark))) if known.stage == StoredStage::Accepted => {
-                    let record =
-                        JobRecord { seat: known.seat, stage: StoredStage::Cancelled, tasks: known.tasks };
+                    let record = JobRecord {
+                        seat: known.seat,
+                        stage: StoredStage::Cancelled,
+                        tasks: known.tasks,
+                    };
                     let key = job::job_key(&job);
                     let txn = Txn {
                         conditions: vec![Condition { key: key.clone(), version: mark }],
                         writes: vec![Write::Put { key, value: json!(record), lease: None }],
                     };
-                    let op =
-                        Op::CancelWrite { ticket, job, seat: known.seat, tasks: known.tasks, tries };
+                    let op = Op::CancelWrite {
+                        ticket,
+                        job,
+                        seat: known.seat,
+                        tasks: known.tasks,
+                        tries,
+                    };
                     self.state(op, StateCall::Txn(txn));
                 }
                 Some(Some((known, _))) => {
@@ -360,8 +367,7 @@
                 // The seat may have been lost meanwhile; whoever has it reads the job.
                 let held = self.seats[seat].mine.as_ref().is_some_and(|m| m.term == term);
                 if held && !self.jobs.contains_key(&spec.id) {
-                    let mut job =
-                        Job::new(Rc::clone(&spec), seat, mark, accepted, self.part_size);
+                    let mut job = Job::new(Rc::clone(&spec), seat, mark, accepted, self.part_size);
                     let part = &mut job.parts[0];
                     (part.version, part.stored, part.mark) = (1, 1, mark);
                     job.cancelled = cancelled;
--- a/src/controller/fleet.rs
+++ b/src/controller/fleet.rs
@@ -158,13 +158,11 @@
                     }
                     let price = if spot { t.spot_price } else { t.price };
                     let cost = price / f64::from(per);
-                    let n = there
-                        .get(&(t.name.as_str(), zone.as_str(), spot))
-                        .copied()
-                        .unwrap_or(0);
-                    let better = best.as_ref().is_none_or(|(c, m, _, _)| {
-                        cost < c - 1e-9 || (cost < c + 1e-9 && n < *m)
-                    });
+                    let n =
+                        there.get(&(t.name.as_str(), zone.as_str(), spot)).copied().unwrap_or(0);
+                    let better = best
+                        .as_ref()
+                        .is_none_or(|(c, m, _, _)| cost < c - 1e-9 || (cost < c + 1e-9 && n < *m));
                     if better {
                         best = Some((cost, n, offer, d.tasks.div_ceil(per)));
                     }
--- a/src/controller/holder.rs
+++ b/src/controller/holder.rs
@@ -1,11 +1,11 @@
 //! The machines of this process's seats: reports in, commands out. What all
 //! seats want there against what is there.
 
-use super::machine::{self, Key, Outcome, Post};
+use super::machine::{self, Key, Outcome};
 use super::quota::EPS;
 use super::seat::DRIFT;
 use super::{Controller, DirectReply, Effect, Op, Ticket};
-use crate::peer::{Frame, Heard, MachineView, Seen, SeatWants, WantedTask};
+use crate::peer::{Frame, Heard, MachineView, SeatWants, Seen, WantedTask};
 use crate::time::Micros;
 use crate::wire::{Command, DirectCommands, Report, ReportReply};
 use log::{debug, info, warn};
@@ -80,8 +80,7 @@
         post.answered = Some(now);
         let known = post.known;
         self.note_outcomes(&machine, outcomes);
-        let commands =
-            if known { self.commands(&machine, Way::Answer) } else { Vec::new() };
+        let commands = if known { self.commands(&machine, Way::Answer) } else { Vec::new() };
         self.dirty_posts.insert(machine);
         let body = serde_json::to_vec(&ReportReply { token: term, commands }).unwrap_or_default();
         self.out.push(Effect::Respond { ticket, status: 200, retry_after: None, body });
@@ -155,7 +154,7 @@
         if self.my_term(self.seat_of_machine(machine)).is_none() || self.gone.contains(machine) {
             return;
         }
-        self.posts.entry(machine.to_string()).or_insert_with(Post::default);
+        self.posts.entry(machine.to_string()).or_default();
         self.push(machine);
         self.dirty_posts.insert(machine.to_string());
     }
--- a/src/controller/job.rs
+++ b/src/controller/job.rs
@@ -177,13 +177,7 @@
 
 impl Job {
     /// A job with nothing placed.
-    pub fn new(
-        spec: Rc<JobSpec>,
-        seat: usize,
-        mark: u64,
-        accepted: Micros,
-        part_size: u32,
-    ) -> Job {
+    pub fn new(spec: Rc<JobSpec>, seat: usize, mark: u64, accepted: Micros, part_size: u32) -> Job {
         let tasks = spec.tasks;
         let count = tasks.div_ceil(part_size);
         let parts = (0..count)
@@ -383,9 +377,7 @@
 
     /// Time of day of the deadline.
     pub fn due(&self) -> Micros {
-        self.spec
-            .deadline_s
-            .map_or(Micros::FAR, |d| self.accepted + Micros::from_secs_f64(d))
+        self.spec.deadline_s.map_or(Micros::FAR, |d| self.accepted + Micros::from_secs_f64(d))
     }
 
     /// Tasks per zone, for `together` and `apart`.
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -102,7 +102,7 @@
         /// Number of the member.
         from: usize,
         /// The frame.
-        frame: Frame,
+        frame: Box<Frame>,
     },
     /// A new connection to a peer stands: it has heard nothing on it yet.
     PeerUp(usize),
@@ -158,6 +158,9 @@
     },
 }
 
+/// Tasks by job and number.
+type TaskSet = BTreeSet<(String, u32)>;
+
 /// Which changes a watch follows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Watch {
@@ -276,12 +279,14 @@
     jobs: BTreeMap<String, Job>,
     progress: BTreeMap<String, (u32, u32)>,
     /// Own seats' tasks by seat and machine.
-    by_machine: BTreeMap<(usize, Rc<str>), BTreeSet<(String, u32)>>,
+    by_machine: BTreeMap<(usize, Rc<str>), TaskSet>,
     part_size: u32,
     submissions: usize,
 
     wants: Vec<HeardWants>,
     views: BTreeMap<String, MachineView>,
+    /// Since when the tasks of each machine have been seen running.
+    running_since: BTreeMap<String, BTreeMap<Key, Micros>>,
     posts: BTreeMap<String, Post>,
     gone: BTreeSet<String>,
     draining: BTreeSet<String>,
@@ -319,12 +324,8 @@
         let members = config.members();
         let me = members.iter().position(|m| *m == config.member).unwrap_or(0);
         let count = members.len();
-        let quotas = config
-            .settings
-            .teams
-            .iter()
-            .map(|t| (t.name.clone(), TeamQuota::new(t)))
-            .collect();
+        let quotas =
+            config.settings.teams.iter().map(|t| (t.name.clone(), TeamQuota::new(t))).collect();
         let peers = (0..count).filter(|n| *n != me).map(|n| (n, PeerInfo::default())).collect();
         Controller {
             member: config.member.clone(),
@@ -355,6 +356,7 @@
             submissions: 0,
             wants: vec![HeardWants::default(); count],
             views: BTreeMap::new(),
+            running_since: BTreeMap::new(),
             posts: BTreeMap::new(),
             gone: BTreeSet::new(),
             draining: BTreeSet::new(),
@@ -399,7 +401,7 @@
                     self.reply(op, reply);
                 }
             }
-            Event::Peer { from, frame } => self.peer_frame(from, frame),
+            Event::Peer { from, frame } => self.peer_frame(from, *frame),
             Event::PeerUp(peer) => {
                 self.sync_peers.insert(peer);
             }
@@ -515,8 +517,7 @@
 
     /// True if this process runs the seat's jobs.
     fn runs(&self, seat: usize) -> bool {
-        self.acting()
-            && self.seats[seat].mine.as_ref().is_some_and(|m| m.loaded && !m.releasing)
+        self.acting() && self.seats[seat].mine.as_ref().is_some_and(|m| m.loaded && !m.releasing)
     }
 
     fn seat_of_machine(&self, machine: &str) -> usize {
@@ -678,20 +679,11 @@
                     .collect(),
             });
         }
-        frame.views = self
-            .posts
-            .keys()
-            .filter_map(|m| self.views.get(m))
-            .cloned()
-            .collect();
+        frame.views = self.posts.keys().filter_map(|m| self.views.get(m)).cloned().collect();
         frame.progress = self
             .jobs
             .iter()
-            .map(|(id, j)| peer::Progress {
-                job: id.clone(),
-                done: j.done(),
-                running: j.running(),
-            })
+            .map(|(id, j)| peer::Progress { job: id.clone(), done: j.done(), running: j.running() })
             .collect();
         frame.gone = self.gone.iter().rev().take(500).cloned().collect();
         frame
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -2,9 +2,10 @@
 //! written down, and what is therefore wanted on machines.
 
 use super::job::{self, Job, JobRecord, Placement, StoredStage};
+use super::machine::Key;
 use super::seat;
 use super::{Controller, Known, Op};
-use crate::peer::{Frame, MachineView, MachineWants, Seen, SeenTask, SeatWants, WantedTask};
+use crate::peer::{Frame, MachineView, MachineWants, SeatWants, Seen, SeenTask, WantedTask};
 use crate::state::{StateCall, StateReply};
 use crate::time::Micros;
 use crate::wire::{Condition, Txn, Write};
@@ -85,9 +86,9 @@
                 // about to send the start.
                 None => {
                     let heard = view.heard.iter().find(|h| h.seat as usize == s);
-                    let stopped = p.stop_seq.is_some_and(|q| {
-                        heard.is_some_and(|h| h.term == term && h.seq >= q)
-                    });
+                    let stopped = p
+                        .stop_seq
+                        .is_some_and(|q| heard.is_some_and(|h| h.term == term && h.seq >= q));
                     stopped.then_some(Seen::Stopped)
                 }
             }
@@ -123,7 +124,11 @@
             return;
         }
         let save = Micros::from_secs_f64(spec.save_s);
-        let grace = if spec.checkpoint_s > 0.0 && save < left { save + Micros::secs(1) } else { Micros::ZERO };
+        let grace = if spec.checkpoint_s > 0.0 && save < left {
+            save + Micros::secs(1)
+        } else {
+            Micros::ZERO
+        };
         p.stop = Some(grace);
         let key = (job.seat, Rc::clone(&p_machine(job, index)));
         self.dirty_wants.insert(key);
@@ -151,18 +156,15 @@
         let Some(job) = self.jobs.get_mut(&t.job) else {
             return;
         };
-        let grace = if job.spec.checkpoint_s > 0.0 {
-            Micros::from_secs_f64(job.spec.save_s) + Micros::secs(1)
-        } else {
-            Micros::ZERO
-        };
         let there = job
             .part_of(t.index)
             .and_then(|p| p.placed.get(&t.index))
             .is_some_and(|p| p.attempt == t.attempt && p.stop.is_none());
         if there {
             self.counts.preempted += 1;
-            self.stop_task(&t.job, t.index, grace);
+            // At once: what it has saved by itself is kept, and the room is
+            // needed sooner than a further save takes.
+            self.stop_task(&t.job, t.index, Micros::ZERO);
         }
     }
 
@@ -171,8 +173,7 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let placed: Vec<u32> =
-            job.parts.iter().flat_map(|p| p.placed.keys().copied()).collect();
+        let placed: Vec<u32> = job.parts.iter().flat_map(|p| p.placed.keys().copied()).collect();
         for index in placed {
             self.stop_task(id, index, Micros::ZERO);
         }
@@ -204,6 +205,7 @@
         }
         self.posts.remove(machine);
         self.views.remove(machine);
+        self.running_since.remove(machine);
         self.dirty_posts.remove(machine);
         self.fleet.forget(machine);
         for s in 0..self.seats.len() {
@@ -382,9 +384,7 @@
             let machines: Vec<(usize, Rc<str>)> = self
                 .by_machine
                 .iter()
-                .filter(|((s, _), tasks)| {
-                    *s == job.seat && tasks.iter().any(|(j, _)| j == id)
-                })
+                .filter(|((s, _), tasks)| *s == job.seat && tasks.iter().any(|(j, _)| j == id))
                 .map(|(k, _)| k.clone())
                 .collect();
             for key in machines {
@@ -521,14 +521,7 @@
     }
 
     /// Changes are stored: they may now be acted on.
-    fn stored(
-        &mut self,
-        id: &str,
-        mark: u64,
-        parts: &[(usize, u64)],
-        done: bool,
-        drops: &[usize],
-    ) {
+    fn stored(&mut self, id: &str, mark: u64, parts: &[(usize, u64)], done: bool, drops: &[usize]) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -558,8 +551,7 @@
                     touched.push((p.machine, i));
                 }
             }
-            let known =
-                Known { stage: StoredStage::Done, seat: s, tasks: job.spec.tasks };
+            let known = Known { stage: StoredStage::Done, seat: s, tasks: job.spec.tasks };
             self.note_known(id, known);
         }
         for (machine, index) in touched {
@@ -619,6 +611,7 @@
                 stop_ms: p.stop.map(Micros::as_millis),
                 rank,
                 team: spec.team.clone(),
+                checkpoint_s: spec.checkpoint_s,
             };
             // Nothing is asked for before it is written down: a start that
             // nobody remembers could run beside the next one.
@@ -716,6 +709,18 @@
             }
         }
         let machine = view.machine.clone();
+        let old = self.running_since.remove(&machine).unwrap_or_default();
+        let running = view
+            .tasks
+            .iter()
+            .filter(|t| t.seen() == Seen::Running)
+            .map(|t| {
+                let key = Key { job: t.job.clone(), index: t.index, attempt: t.attempt };
+                let since = old.get(&key).copied().unwrap_or(now);
+                (key, since)
+            })
+            .collect();
+        self.running_since.insert(machine.clone(), running);
         self.views.insert(machine.clone(), view);
         for s in 0..self.seats.len() {
             self.judge_machine(s, &machine);
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -1,9 +1,11 @@
 //! The queue of this process's seats, and where its tasks go.
 
+use super::Controller;
 use super::fleet::fits;
+use super::job::Job;
+use super::machine::Key;
 use super::place::{self, Candidate};
 use super::quota::{Amount, EPS};
-use super::Controller;
 use crate::peer::{Demand, Seen, SeenTask};
 use crate::time::Micros;
 use std::collections::BTreeMap;
@@ -20,7 +22,8 @@
     amount: [f64; 3],
     task: SeenTask,
     stopping: bool,
-    ran: Micros,
+    /// Seconds of work that stopping it would lose.
+    loss: f64,
 }
 
 /// A machine as a pass sees it.
@@ -33,6 +36,8 @@
     session: u64,
     free: [f64; 3],
     tasks: Vec<Booked>,
+    /// Tasks that are to make room for the one being placed.
+    victims: Vec<Booked>,
 }
 
 impl Controller {
@@ -45,7 +50,8 @@
             .iter()
             .filter(|(_, j)| !j.cancelled && !j.over && j.pending() > 0)
             .map(|(id, j)| {
-                let beyond = !self.within_guarantee(&used, &j.spec.team, [j.spec.cpus, j.spec.gpus]);
+                let beyond =
+                    !self.within_guarantee(&used, &j.spec.team, [j.spec.cpus, j.spec.gpus]);
                 (beyond, j.rank(), j.due(), j.accepted, id.clone())
             })
             .collect();
@@ -53,12 +59,7 @@
         order.into_iter().map(|(.., id)| id).collect()
     }
 
-    fn within_guarantee(
-        &self,
-        used: &BTreeMap<String, Amount>,
-        team: &str,
-        more: Amount,
-    ) -> bool {
+    fn within_guarantee(&self, used: &BTreeMap<String, Amount>, team: &str, more: Amount) -> bool {
         let Some(quota) = self.quotas.get(team) else {
             return false;
         };
@@ -126,6 +127,7 @@
                 session: v.session,
                 free: [t.cpus, t.gpus, t.memory_gb],
                 tasks: Vec::new(),
+                victims: Vec::new(),
             };
             let over = |job: &str, index: u32, attempt: u64| {
                 v.tasks.iter().any(|t| {
@@ -153,7 +155,7 @@
                             seen: Seen::Running as i32,
                         },
                         stopping: t.stop_ms.is_some(),
-                        ran: Micros::ZERO,
+                        loss: self.loss(name, &t.job, t.index, t.attempt, t.checkpoint_s),
                     });
                 }
             }
@@ -180,17 +182,18 @@
                             seen: Seen::Running as i32,
                         },
                         stopping: p.stop.is_some(),
-                        ran: p.running_since.map_or(Micros::ZERO, |at| self.now.since(at)),
+                        loss: self.loss(name, id, *index, p.attempt, j.spec.checkpoint_s),
                     });
                 }
             }
             // Tasks that nobody is known to want take room of unknown size.
             let strange = v.tasks.iter().any(|t| {
                 !t.seen().over()
-                    && !slot
-                        .tasks
-                        .iter()
-                        .any(|b| b.task.attempt == t.attempt && b.task.index == t.index && b.task.job == t.job)
+                    && !slot.tasks.iter().any(|b| {
+                        b.task.attempt == t.attempt
+                            && b.task.index == t.index
+                            && b.task.job == t.job
+                    })
             });
             if !strange {
                 slots.push(slot);
@@ -211,12 +214,13 @@
             return;
         }
         let mut slots = self.slots();
+        let mut usage = self.team_usage();
         for id in order {
-            self.place_job(&id, &mut slots);
+            self.place_job(&id, &mut slots, &mut usage);
         }
     }
 
-    fn place_job(&mut self, id: &str, slots: &mut [Slot]) {
+    fn place_job(&mut self, id: &str, slots: &mut [Slot], usage: &mut BTreeMap<String, Amount>) {
         let now = self.now;
         let Some(job) = self.jobs.get(id) else {
             return;
@@ -235,7 +239,6 @@
         let grant = self.quotas.get(&spec.team).map_or([0.0, 0.0], |q| q.grant(s));
         let mut used = self.seat_usage(s, &spec.team);
         let slack = place::slack(&self.options, spec.image_gb);
-        let avoid = job.avoid.clone();
         let mut zones = job.zones();
         let reason = loop {
             let Some(job) = self.jobs.get(id) else {
@@ -249,13 +252,7 @@
             }
             let candidates: Vec<Candidate<'_>> = slots
                 .iter()
-                .filter(|m| {
-                    spec.types.as_ref().is_none_or(|l| l.contains(&m.machine_type))
-                        && (spec.spot || !m.spot)
-                        && job.zone_allows(&zones, &m.zone)
-                        && !avoid.contains(m.machine.as_str())
-                        && fits(&m.free, &need) > 0
-                })
+                .filter(|m| self.suits(job, &zones, m) && fits(&m.free, &need) > 0)
                 .map(|m| Candidate {
                     machine: &m.machine,
                     booked: m.tasks.len() as u32,
@@ -263,19 +260,23 @@
                     holds_image: self.images.holds(now, &spec.image, &m.machine, m.session),
                 })
                 .collect();
-            let Some(chosen) = place::choose(&candidates, slack) else {
-                break "no machine with room";
+            let at = match place::choose(&candidates, slack) {
+                Some(chosen) => slots.iter().position(|m| m.machine == chosen),
+                None => self.make_room(job, &zones, slots, usage),
             };
-            let hit = candidates.iter().any(|c| c.machine == chosen && c.holds_image);
-            let Some(at) = slots.iter().position(|m| m.machine == chosen) else {
+            let Some(at) = at else {
                 break "no machine with room";
             };
+            let slot = &slots[at];
+            let hit = self.images.holds(now, &spec.image, &slot.machine, slot.session);
+            for b in std::mem::take(&mut slots[at].victims) {
+                self.ask_to_stop(&b);
+            }
             let slot = &mut slots[at];
             let Some(job) = self.jobs.get_mut(id) else {
                 return;
             };
-            let Some(attempt) = job.put(now, index, &slot.machine, slot.session, &slot.zone)
-            else {
+            let Some(attempt) = job.put(now, index, &slot.machine, slot.session, &slot.zone) else {
                 break "no machine with room";
             };
             self.counts.placed += 1;
@@ -284,18 +285,16 @@
             *zones.entry(Rc::from(slot.zone.as_str())).or_insert(0) += 1;
             used[0] += need[0];
             used[1] += need[1];
+            let team = usage.entry(spec.team.clone()).or_default();
+            team[0] += need[0];
+            team[1] += need[1];
             slot.book(Booked {
                 rank: job.rank(),
                 team: spec.team.clone(),
                 amount: need,
-                task: SeenTask {
-                    job: id.to_string(),
-                    index,
-                    attempt,
-                    seen: Seen::Sent as i32,
-                },
+                task: SeenTask { job: id.to_string(), index, attempt, seen: Seen::Sent as i32 },
                 stopping: false,
-                ran: Micros::ZERO,
+                loss: 0.0,
             });
             self.images.note(now, &spec.image, &slot.machine, slot.session);
             self.by_machine
@@ -309,6 +308,104 @@
         }
     }
 
+    /// Seconds of work that stopping a task at once would lose.
+    fn loss(&self, machine: &str, job: &str, index: u32, attempt: u64, checkpoint_s: f64) -> f64 {
+        let key = Key { job: job.to_string(), index, attempt };
+        let since = self.running_since.get(machine).and_then(|m| m.get(&key));
+        let ran = since.map_or(0.0, |at| self.now.since(*at).as_secs_f64());
+        if checkpoint_s > 0.0 { ran % checkpoint_s } else { ran }
+    }
+
+    /// Finds a machine on which stopping other tasks makes room for a task of
+    /// the job, choosing what loses least work. Only lower priorities give
+    /// way, or work that another team runs beyond its guarantee to a team
+    /// that is within its own.
+    fn make_room(
+        &self,
+        job: &Job,
+        zones: &BTreeMap<Rc<str>, u32>,
+        slots: &mut [Slot],
+        usage: &mut BTreeMap<String, Amount>,
+    ) -> Option<usize> {
+        let spec = &job.spec;
+        let need = [spec.cpus, spec.gpus, spec.memory_gb];
+        let entitled = self.within_guarantee(usage, &spec.team, [spec.cpus, spec.gpus]);
+        let mut best: Option<(f64, usize, Vec<usize>)> = None;
+        for (at, slot) in slots.iter().enumerate() {
+            if !self.suits(job, zones, slot) {
+                continue;
+            }
+            let mut order: Vec<usize> = (0..slot.tasks.len())
+                .filter(|i| {
+                    let b = &slot.tasks[*i];
+                    let borrowed = entitled
+                        && b.team != spec.team
+                        && !self.within_guarantee(usage, &b.team, [0.0, 0.0]);
+                    !b.stopping && (b.rank > job.rank() || borrowed)
+                })
+                .collect();
+            order.sort_by(|x, y| {
+                let (x, y) = (&slot.tasks[*x], &slot.tasks[*y]);
+                x.loss.total_cmp(&y.loss).then(y.rank.cmp(&x.rank))
+            });
+            let mut free = slot.free;
+            let mut cost = if self.images.holds(self.now, &spec.image, &slot.machine, slot.session)
+            {
+                0.0
+            } else {
+                let rate = self.types.get(&slot.machine_type).map_or(1.0, |t| t.fetch_gb_per_s);
+                spec.image_gb / rate.max(0.01)
+            };
+            let mut victims = Vec::new();
+            for i in order {
+                if fits(&free, &need) > 0 {
+                    break;
+                }
+                let b = &slot.tasks[i];
+                for (f, a) in free.iter_mut().zip(b.amount) {
+                    *f += a;
+                }
+                cost += b.loss + 1.0;
+                victims.push(i);
+            }
+            if fits(&free, &need) > 0 && best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
+                best = Some((cost, at, victims));
+            }
+        }
+        let (_, at, victims) = best?;
+        let slot = &mut slots[at];
+        for i in &victims {
+            let b = &mut slot.tasks[*i];
+            b.stopping = true;
+            for (f, a) in slot.free.iter_mut().zip(b.amount) {
+                *f += a;
+            }
+            let u = usage.entry(b.team.clone()).or_default();
+            u[0] -= b.amount[0];
+            u[1] -= b.amount[1];
+        }
+        slot.victims = victims.iter().map(|i| slot.tasks[*i].clone()).collect();
+        Some(at)
+    }
+
+    fn ask_to_stop(&mut self, b: &Booked) {
+        log::debug!("task {}/{} makes room", b.task.job, b.task.index);
+        if self.jobs.contains_key(&b.task.job) {
+            self.give_way(&b.task);
+        } else {
+            self.note_preempt.push(b.task.clone());
+        }
+    }
+
+    /// Whether a job's tasks may go to a machine at all, room aside.
+    fn suits(&self, job: &Job, zones: &BTreeMap<Rc<str>, u32>, m: &Slot) -> bool {
+        let spec = &job.spec;
+        spec.types.as_ref().is_none_or(|l| l.contains(&m.machine_type))
+            && (spec.spot || !m.spot)
+            && job.zone_allows(zones, &m.zone)
+            && !job.avoid.contains(m.machine.as_str())
+    }
+
     /// Waiting tasks by shape, as far as their teams' limits let them run.
     pub(super) fn demand(&self) -> Vec<Demand> {
         let usage = self.team_usage();
--- a/src/controller/renter.rs
+++ b/src/controller/renter.rs
@@ -77,8 +77,7 @@
             let spare = (f64::from(d.tasks) * self.options.spare_share).ceil();
             d.tasks = d.tasks.saturating_add(spare as u32);
         }
-        let mut rooms: Vec<Room> =
-            self.free_rooms().into_values().map(|(room, _)| room).collect();
+        let mut rooms: Vec<Room> = self.free_rooms().into_values().map(|(room, _)| room).collect();
         for (name, m) in &self.fleet.machines {
             let up = self.views.get(name).is_some_and(|v| v.known);
             if up || m.stage == MachineStage::Failed || self.fleet.draining.contains_key(name) {
@@ -94,13 +93,8 @@
             }
         }
         let rest = fleet::unmet(&demand, &mut rooms);
-        let next = fleet::next_request(
-            &rest,
-            &self.types,
-            &self.fleet.machines,
-            &self.fleet.refused,
-            now,
-        );
+        let next =
+            fleet::next_request(&rest, &self.types, &self.fleet.machines, &self.fleet.refused, now);
         let Some(((machine_type, zone, spot), count)) = next else {
             return;
         };
--- a/src/controller/seats.rs
+++ b/src/controller/seats.rs
@@ -1,7 +1,6 @@
 //! Lease, seats and watches: how this process learns what it may do.
 
 use super::job::{self, Job, JobRecord, StoredStage};
-use super::machine::Post;
 use super::seat::{self, Mine, Seat};
 use super::{Controller, Known, Op, Watch};
 use crate::state::{StateCall, StateReply};
@@ -64,10 +63,7 @@
         }
         if !self.seats_read && !self.seats_reading {
             self.seats_reading = true;
-            self.state(
-                Op::ListTerms,
-                StateCall::List { prefix: "seat/".into(), after: None },
-            );
+            self.state(Op::ListTerms, StateCall::List { prefix: "seat/".into(), after: None });
         }
         for watch in [Watch::Holds, Watch::Jobs, Watch::Quotas] {
             let f = self.follow.entry(watch).or_default();
@@ -127,7 +123,8 @@
                 Micros::ZERO
             } else {
                 let rank = (self.me + self.seats.len() - s) % self.seats.len();
-                let home_well = self.peer_alive(s) && self.peers.get(&s).is_some_and(|p| p.state_ok);
+                let home_well =
+                    self.peer_alive(s) && self.peers.get(&s).is_some_and(|p| p.state_ok);
                 let base = if home_well { Micros::millis(2_000) } else { Micros::millis(200) };
                 base + Micros::millis(rank as u64 * 250)
             };
@@ -222,7 +219,7 @@
             .filter(|m| self.seat_of_machine(m) == s)
             .collect();
         for m in machines {
-            self.posts.entry(m.clone()).or_insert_with(Post::default);
+            self.posts.entry(m.clone()).or_default();
             self.dirty_posts.insert(m);
         }
     }
@@ -259,10 +256,7 @@
                     }
                 }
                 // Holds after terms: a take in between shows in the holds.
-                self.state(
-                    Op::ListHolds,
-                    StateCall::List { prefix: "hold/".into(), after: None },
-                );
+                self.state(Op::ListHolds, StateCall::List { prefix: "hold/".into(), after: None });
             }
             (Op::ListHolds, StateReply::Page { items, .. }) => {
                 self.seats_reading = false;
@@ -511,7 +505,8 @@
         l.asked.remove(job);
         match reply {
             StateReply::Value(item) => {
-                let record = item.as_ref().and_then(|i| serde_json::from_value(i.value.clone()).ok());
+                let record =
+                    item.as_ref().and_then(|i| serde_json::from_value(i.value.clone()).ok());
                 let mark = item.map_or(0, |i| i.version);
                 l.records.insert(job.to_string(), (record, mark));
             }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -58,6 +58,9 @@
     /// Team.
     #[prost(string, tag = "12")]
     pub team: String,
+    /// Seconds between its checkpoints, 0 if it saves none.
+    #[prost(double, tag = "13")]
+    pub checkpoint_s: f64,
 }
 
 /// All that a seat wants on one machine.
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -67,10 +67,21 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Role {
     /// A user's, worker's or prober's; `busy` since a request is being decided.
-    Sender { busy: bool, since: Micros, reports: bool },
-    PeerIn { member: Option<usize> },
-    PeerOut { member: usize },
-    Client { place: Place, call: Option<CallId> },
+    Sender {
+        busy: bool,
+        since: Micros,
+        reports: bool,
+    },
+    PeerIn {
+        member: Option<usize>,
+    },
+    PeerOut {
+        member: usize,
+    },
+    Client {
+        place: Place,
+        call: Option<CallId>,
+    },
 }
 
 struct Conn {
@@ -169,10 +180,7 @@
         .iter()
         .filter_map(|p| {
             let number = members.iter().position(|m| *m == p.member)?;
-            Some((
-                number,
-                PeerLink { address: p.address, conn: None, retry: Micros::ZERO, run: 0 },
-            ))
+            Some((number, PeerLink { address: p.address, conn: None, retry: Micros::ZERO, run: 0 }))
         })
         .collect();
     let s = &config.settings.state;
@@ -209,9 +217,8 @@
 
 /// The time of day, less the second at which the steady clock begins.
 fn time_of_day() -> Micros {
-    let since = std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .unwrap_or_default();
+    let since =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
     Micros(u64::try_from(since.as_micros()).unwrap_or(0)).since(Micros::secs(1))
 }
 
@@ -511,7 +518,7 @@
                             self.close(c);
                         }
                     }
-                    self.dispatch(Event::Peer { from, frame });
+                    self.dispatch(Event::Peer { from, frame: Box::new(frame) });
                 }
                 Err(peer::BadFrame) => {
                     warn!("unreadable frame from a peer; connection closed");
@@ -668,8 +675,10 @@
             self.start_call(id, CallKind::State(call), place, bytes, timeout);
         } else if self.throttled.len() < STATE_QUEUE {
             let deadline = self.now + call.timeout();
-            self.calls
-                .insert(id, Call { kind: CallKind::State(call), place, bytes, deadline, conn: None });
+            self.calls.insert(
+                id,
+                Call { kind: CallKind::State(call), place, bytes, deadline, conn: None },
+            );
             self.deadlines.insert((deadline, id));
             self.throttled.push_back(id);
         } else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,7 @@
 //! The state service: its calls, its answers and this node's share of its rate.
 
 use crate::time::Micros;
-use crate::wire::{
-    Change, Changes, Item, Items, LeaseGranted, LeaseWanted, Revision, Txn, path,
-};
+use crate::wire::{Change, Changes, Item, Items, LeaseGranted, LeaseWanted, Revision, Txn, path};
 
 /// A call to the state service.
 #[derive(Debug, Clone, PartialEq)]
@@ -149,18 +147,13 @@
                 read::<Item>(body).map_or(StateReply::Unknown, |i| StateReply::Value(Some(i)))
             }
             (404, StateCall::Get(_)) => StateReply::Value(None),
-            (200, StateCall::List { .. }) => {
-                read::<Items>(body).map_or(StateReply::Unknown, |p| StateReply::Page {
-                    items: p.items,
-                    more: p.more,
-                    revision: p.revision,
-                })
-            }
+            (200, StateCall::List { .. }) => read::<Items>(body).map_or(StateReply::Unknown, |p| {
+                StateReply::Page { items: p.items, more: p.more, revision: p.revision }
+            }),
             (200, StateCall::Txn(_)) => read::<Revision>(body)
                 .map_or(StateReply::Unknown, |r| StateReply::Applied(r.revision)),
-            (409, StateCall::Txn(_)) => {
-                read::<Revision>(body).map_or(StateReply::Unknown, |r| StateReply::Conflict(r.failed))
-            }
+            (409, StateCall::Txn(_)) => read::<Revision>(body)
+                .map_or(StateReply::Unknown, |r| StateReply::Conflict(r.failed)),
             (400, StateCall::Txn(_)) if body.windows(8).any(|w| w == b"no such ") => {
                 StateReply::NoLease
             }
@@ -243,8 +236,7 @@
     /// Takes a call's cost if it may go out now.
     pub fn admit(&mut self, now: Micros, call: &StateCall) -> bool {
         let puts = call.puts() as f64;
-        let allowed =
-            call.urgent() || (self.calls.allows(now, 1.0) && self.puts.allows(now, puts));
+        let allowed = call.urgent() || (self.calls.allows(now, 1.0) && self.puts.allows(now, puts));
         if allowed {
             self.calls.take(1.0);
             self.puts.take(puts);
