Give grants to the more urgent first and stop less urgent tasks at a team's limit

Cause: hotfix-build of a team at its limit waited 20 to 50 s while replay-audit of the same team held the grants. Ruled out: room (machines had some), starts.

--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -74,8 +74,10 @@
                 Some(seen) => {
                     if p.seen != Some(seen) {
                         p.seen = Some(seen);
-                        if seen == Seen::Running {
-                            p.running_since.get_or_insert(now);
+                        if seen == Seen::Running && p.running_since.is_none() {
+                            p.running_since = Some(now);
+                            let took = now.since(p.at).as_millis();
+                            log::debug!("task {id}/{index} runs on {machine} after {took} ms");
                         }
                         self.dirty_progress.insert(id.to_string());
                     }
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -309,7 +309,14 @@
     }
 
     /// Seconds of work that stopping a task at once would lose.
-    fn loss(&self, machine: &str, job: &str, index: u32, attempt: u64, checkpoint_s: f64) -> f64 {
+    pub(super) fn loss(
+        &self,
+        machine: &str,
+        job: &str,
+        index: u32,
+        attempt: u64,
+        checkpoint_s: f64,
+    ) -> f64 {
         let key = Key { job: job.to_string(), index, attempt };
         let since = self.running_since.get(machine).and_then(|m| m.get(&key));
         let ran = since.map_or(0.0, |at| self.now.since(*at).as_secs_f64());
--- a/src/controller/quota.rs
+++ b/src/controller/quota.rs
@@ -109,33 +109,67 @@
         Some(Value::Object(map))
     }
 
-    /// The grant that a seat should have: what it uses and needs, as far as
-    /// nobody else has it; what it neither uses nor needs goes back when
-    /// others are in need, and in need all get equal parts.
-    pub fn wanted(&self, seat: usize, used: Amount, need: Amount, others: &[Amount]) -> Amount {
+    /// The grant that a seat should have, given what it uses, what waits there
+    /// and what other seats lack, both by rank.
+    ///
+    /// The more urgent goes first, equals share what is free. What is neither
+    /// used nor needed for work as urgent as the others' goes back.
+    pub fn wanted(&self, seat: usize, used: Amount, waits: &[Need], others: &[Need]) -> Amount {
         let now = self.grants.get(&seat).copied().unwrap_or_default();
         let free = self.free();
         [0, 1].map(|r| {
             if !self.limit[r].is_finite() {
                 return now[r];
             }
-            let wish = used[r] + need[r];
-            let needy = others.iter().filter(|o| o[r] > EPS).count();
+            let lacking = |n: &&Need| n.amount[r] > EPS;
+            let theirs = others.iter().filter(lacking).map(|n| n.rank).min();
+            let counts = |n: &&Need| n.amount[r] > EPS && theirs.is_none_or(|t| n.rank <= t);
+            let ours = waits.iter().filter(counts).map(|n| n.rank).min();
+            let wish = used[r] + waits.iter().filter(counts).map(|n| n.amount[r]).sum::<f64>();
+            let equals = others.iter().filter(lacking).filter(|n| Some(n.rank) == ours).count();
+            let share = 1.0 / (equals + 1) as f64;
             if wish > now[r] + EPS {
-                let part = if needy > 0 { free[r] / (needy + 1) as f64 } else { free[r] };
-                // A part too small for one task would help nobody.
-                let part = if part < 1.0 { free[r] } else { part };
-                let raised = now[r] + (wish - now[r]).min(part);
-                let equal = self.limit[r] / (needy + 1) as f64;
-                if needy > 0 && free[r] < EPS && now[r] > equal.max(used[r]) + EPS {
+                let equal = self.limit[r] * share;
+                if equals > 0 && free[r] < EPS && now[r] > equal.max(used[r]) + EPS {
                     return equal.max(used[r]);
                 }
-                raised.max(now[r])
-            } else if needy > 0 && now[r] > wish + EPS {
-                wish.max(used[r])
+                let part = free[r] * share;
+                // A part too small for one task would help nobody.
+                let part = if part < 1.0 { free[r] } else { part };
+                now[r] + (wish - now[r]).min(part).max(0.0)
+            } else if theirs.is_some() {
+                wish.max(used[r]).min(now[r])
             } else {
                 now[r]
             }
         })
     }
 }
+
+/// What tasks of one rank need.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Need {
+    /// Rank: lower is more urgent.
+    pub rank: u32,
+    /// CPUs and GPUs.
+    pub amount: Amount,
+}
+
+/// What of some needs is left once `room` has gone to the most urgent.
+pub fn lacking(room: Amount, waits: &[Need]) -> Vec<Need> {
+    let mut room = room;
+    let mut waits = waits.to_vec();
+    waits.sort_by_key(|n| n.rank);
+    let mut list = Vec::new();
+    for n in waits {
+        let amount = [0, 1].map(|r| {
+            let got = n.amount[r].min(room[r].max(0.0));
+            room[r] -= got;
+            n.amount[r] - got
+        });
+        if amount.iter().any(|a| *a > EPS) {
+            list.push(Need { rank: n.rank, amount });
+        }
+    }
+    list
+}
--- a/src/controller/quotas.rs
+++ b/src/controller/quotas.rs
@@ -1,25 +1,28 @@
 //! Moving unused grants of teams' limits to the seats that need them.
 
-use super::quota::{self, Amount, EPS};
+use super::quota::{self, EPS, Need};
 use super::{Controller, Op, seat};
-use crate::peer::QuotaNeed;
+use crate::peer::{QuotaNeed, Seen, SeenTask};
 use crate::state::{StateCall, StateReply};
 use crate::wire::{Condition, Txn, Write};
 use serde_json::Value;
 
 impl Controller {
-    /// CPUs and GPUs that a seat's waiting tasks of a team would take.
-    fn seat_need(&self, s: usize, team: &str) -> Amount {
-        let mut need = [0.0, 0.0];
+    /// What a seat's waiting tasks of a team would take, by rank.
+    fn seat_waits(&self, s: usize, team: &str) -> Vec<Need> {
+        let mut list: Vec<Need> = Vec::new();
         for j in self.jobs.values().filter(|j| j.seat == s && j.spec.team == team) {
-            if j.cancelled || j.over {
+            let n = f64::from(j.pending());
+            if j.cancelled || j.over || n == 0.0 || self.now < j.not_before {
                 continue;
             }
-            let n = f64::from(j.pending());
-            need[0] += n * j.spec.cpus;
-            need[1] += n * j.spec.gpus;
+            let amount = [n * j.spec.cpus, n * j.spec.gpus];
+            match list.iter_mut().find(|x| x.rank == j.rank()) {
+                Some(x) => x.amount = [x.amount[0] + amount[0], x.amount[1] + amount[1]],
+                None => list.push(Need { rank: j.rank(), amount }),
+            }
         }
-        need
+        list
     }
 
     /// What own seats lack, told to the peers that may have it unused.
@@ -27,14 +30,15 @@
         let mut list = Vec::new();
         for (team, q) in self.quotas.iter().filter(|(_, q)| q.limited()) {
             for s in (0..self.seats.len()).filter(|s| self.runs(*s)) {
-                let (need, used) = (self.seat_need(s, team), self.seat_usage(s, team));
-                let lacks = (used[0] + need[0] - q.grant(s)[0]).max(0.0);
-                if need[0] > EPS && lacks > EPS {
+                let (used, grant) = (self.seat_usage(s, team), q.grant(s));
+                let room = [grant[0] - used[0], grant[1] - used[1]];
+                for n in quota::lacking(room, &self.seat_waits(s, team)) {
                     list.push(QuotaNeed {
                         seat: s as u32,
                         team: team.clone(),
-                        cpus: lacks,
-                        used: used[0],
+                        cpus: n.amount[0],
+                        gpus: n.amount[1],
+                        rank: n.rank,
                     });
                 }
             }
@@ -66,16 +70,19 @@
             return;
         }
         let mark = self.seats[s].mine.as_ref().map_or(0, |m| m.mark);
-        let (need, used) = (self.seat_need(s, team), self.seat_usage(s, team));
-        let others: Vec<Amount> = self
+        let (waits, used) = (self.seat_waits(s, team), self.seat_usage(s, team));
+        let all: Vec<&QuotaNeed> = self
             .peers
             .iter()
             .filter(|(n, _)| self.peer_alive(**n))
             .flat_map(|(_, p)| &p.needs)
             .chain(own)
-            .filter(|n| n.team == team && n.seat as usize != s)
-            .map(|n| [n.cpus, 0.0])
+            .filter(|n| n.team == team)
             .collect();
+        let need = |n: &&QuotaNeed| Need { rank: n.rank, amount: [n.cpus, n.gpus] };
+        let others: Vec<Need> = all.iter().filter(|n| n.seat as usize != s).map(need).collect();
+        let everyone: Vec<Need> = all.iter().map(need).collect();
+        self.shed(team, s, &everyone);
         let Some(q) = self.quotas.get_mut(team) else {
             return;
         };
@@ -83,7 +90,7 @@
             return;
         }
         let now = q.grants.get(&s).copied().unwrap_or_default();
-        let wanted = q.wanted(s, used, need, &others);
+        let wanted = q.wanted(s, used, &waits, &others);
         if (0..2).all(|r| (wanted[r] - now[r]).abs() < EPS) {
             return;
         }
@@ -105,6 +112,68 @@
         self.state(op, StateCall::Txn(txn));
     }
 
+    /// The team's limit is used up and more urgent tasks of it wait: this
+    /// seat stops its part of the less urgent ones.
+    fn shed(&mut self, team: &str, s: usize, lacks: &[Need]) {
+        let Some(rank) = lacks.iter().map(|n| n.rank).min() else {
+            return;
+        };
+        let Some(q) = self.quotas.get(team) else {
+            return;
+        };
+        let urgent: f64 = lacks.iter().filter(|n| n.rank == rank).map(|n| n.amount[0]).sum();
+        // What is free, or will be once the tasks that are stopping are gone,
+        // needs no further stops.
+        let mut coming = q.free()[0];
+        let (mut total, mut ours) = (0.0, 0.0);
+        let mut victims: Vec<(f64, SeenTask, f64)> = Vec::new();
+        for (n, w) in self.wants.iter().enumerate() {
+            for (machine, (_, tasks)) in &w.machines {
+                for t in tasks.iter().filter(|t| t.team == team) {
+                    if t.stop_ms.is_some() {
+                        coming += t.cpus;
+                    } else if t.rank > rank {
+                        total += t.cpus;
+                        if n == s {
+                            ours += t.cpus;
+                            let loss =
+                                self.loss(machine, &t.job, t.index, t.attempt, t.checkpoint_s);
+                            let seen = Seen::Running as i32;
+                            let task = SeenTask {
+                                job: t.job.clone(),
+                                index: t.index,
+                                attempt: t.attempt,
+                                seen,
+                            };
+                            victims.push((loss, task, t.cpus));
+                        }
+                    }
+                }
+            }
+        }
+        // What other seats hold unused comes back by itself.
+        let used: f64 = (0..self.seats.len())
+            .flat_map(|n| self.wants[n].machines.values())
+            .flat_map(|(_, tasks)| tasks)
+            .filter(|t| t.team == team)
+            .map(|t| t.cpus)
+            .sum();
+        let unused = (q.limit[0] - used - coming).max(0.0);
+        let missing = urgent - coming - unused;
+        if missing <= EPS || total <= EPS {
+            return;
+        }
+        let mut part = missing * ours / total;
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, task, cpus) in victims {
+            if part <= EPS {
+                return;
+            }
+            part -= cpus;
+            self.give_way(&task);
+        }
+    }
+
     /// Takes in a team's grants as stored at a revision.
     pub(super) fn see_quota(&mut self, team: &str, value: &Value, mark: u64) {
         if let Some(q) = self.quotas.get_mut(team)
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -262,9 +262,12 @@
     /// CPUs that waiting tasks lack.
     #[prost(double, tag = "3")]
     pub cpus: f64,
-    /// CPUs in use.
+    /// GPUs that they lack.
     #[prost(double, tag = "4")]
-    pub used: f64,
+    pub gpus: f64,
+    /// Rank of these tasks.
+    #[prost(uint32, tag = "5")]
+    pub rank: u32,
 }
 
 /// One message between controllers.
