--- a/src/controller/fleet.rs
+++ b/src/controller/fleet.rs
@@ -82,7 +82,8 @@
     [d.cpus, d.gpus, d.memory_gb]
 }
 
-fn allows(d: &Demand, machine_type: &str, zone: &str, spot: bool) -> bool {
+/// Whether tasks may go to machines of a type, zone and kind.
+pub fn allows(d: &Demand, machine_type: &str, zone: &str, spot: bool) -> bool {
     (d.types.is_empty() || d.types.iter().any(|t| t == machine_type))
         && d.zone.as_deref().is_none_or(|z| z == zone)
         && (d.spot || !spot)
--- a/src/controller/place.rs
+++ b/src/controller/place.rs
@@ -26,13 +26,27 @@
 }
 
 /// Picks among the candidates; `None` if there are none.
-pub fn choose<'a>(candidates: &[Candidate<'a>], slack: u32) -> Option<&'a str> {
+///
+/// With `pack` the fullest machine is taken instead of the freest: an
+/// exception to the design for the time in which larger tasks wait that no
+/// machine has room for. Spreading small tasks evenly leaves every machine a
+/// little used, and a task that needs a whole one could wait without end.
+pub fn choose<'a>(candidates: &[Candidate<'a>], slack: u32, pack: bool) -> Option<&'a str> {
     fn better<'c, 'a>(a: &'c Candidate<'a>, b: &'c Candidate<'a>) -> std::cmp::Ordering {
         a.booked
             .cmp(&b.booked)
             .then(b.free_cpus.total_cmp(&a.free_cpus))
             .then(a.machine.cmp(b.machine))
     }
+    if pack {
+        let fullest = candidates.iter().min_by(|a, b| {
+            a.free_cpus
+                .total_cmp(&b.free_cpus)
+                .then(b.holds_image.cmp(&a.holds_image))
+                .then(a.machine.cmp(b.machine))
+        });
+        return fullest.map(|c| c.machine);
+    }
     let freest = candidates.iter().min_by(|a, b| better(a, b))?;
     let holder = candidates.iter().filter(|c| c.holds_image).min_by(|a, b| better(a, b));
     match holder {
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -215,12 +215,44 @@
         }
         let mut slots = self.slots();
         let mut usage = self.team_usage();
+        let mut theirs: Vec<Demand> = self
+            .peers
+            .iter()
+            .filter(|(n, _)| self.peer_alive(**n))
+            .flat_map(|(_, p)| p.demand.iter().cloned())
+            .collect();
+        // Tasks that no machine has room for, though smaller ones might.
+        let ours = self.demand();
+        let blocked: Vec<Demand> = theirs
+            .iter()
+            .chain(&ours)
+            .filter(|d| !slots.iter().any(|m| m.takes(d) > 0))
+            .cloned()
+            .collect();
         for id in order {
-            self.place_job(&id, &mut slots, &mut usage);
+            let Some(rank) = self.jobs.get(&id).map(Job::rank) else {
+                continue;
+            };
+            // What waits at the peers and is more urgent gets its room first:
+            // taken by this job, it would only be taken back by preemption.
+            theirs.retain(|d| {
+                let first = d.rank < rank;
+                if first {
+                    hold_room(&mut slots, d);
+                }
+                !first
+            });
+            self.place_job(&id, &mut slots, &mut usage, &blocked);
         }
     }
 
-    fn place_job(&mut self, id: &str, slots: &mut [Slot], usage: &mut BTreeMap<String, Amount>) {
+    fn place_job(
+        &mut self,
+        id: &str,
+        slots: &mut [Slot],
+        usage: &mut BTreeMap<String, Amount>,
+        blocked: &[Demand],
+    ) {
         let now = self.now;
         let Some(job) = self.jobs.get(id) else {
             return;
@@ -239,6 +271,7 @@
         let grant = self.quotas.get(&spec.team).map_or([0.0, 0.0], |q| q.grant(s));
         let mut used = self.seat_usage(s, &spec.team);
         let slack = place::slack(&self.options, spec.image_gb);
+        let pack = blocked.iter().any(|d| d.cpus > spec.cpus || d.memory_gb > spec.memory_gb);
         let mut zones = job.zones();
         let reason = loop {
             let Some(job) = self.jobs.get(id) else {
@@ -260,7 +293,7 @@
                     holds_image: self.images.holds(now, &spec.image, &m.machine, m.session),
                 })
                 .collect();
-            let at = match place::choose(&candidates, slack) {
+            let at = match place::choose(&candidates, slack, pack) {
                 Some(chosen) => slots.iter().position(|m| m.machine == chosen),
                 None => self.make_room(job, &zones, slots, usage),
             };
@@ -445,6 +478,7 @@
                 types: spec.types.clone().unwrap_or_default(),
                 zone: spec.zone.clone(),
                 spot: spec.spot,
+                rank: j.rank(),
             });
             if list.len() >= 200 {
                 break;
@@ -470,7 +504,31 @@
     }
 }
 
+/// Keeps room for waiting tasks of other seats, where there is any.
+fn hold_room(slots: &mut [Slot], d: &Demand) {
+    let mut left = d.tasks;
+    for m in slots {
+        let n = m.takes(d).min(left);
+        left -= n;
+        for (f, a) in m.free.iter_mut().zip([d.cpus, d.gpus, d.memory_gb]) {
+            *f -= a * f64::from(n);
+        }
+        if left == 0 {
+            return;
+        }
+    }
+}
+
 impl Slot {
+    /// How many of some waiting tasks have room here.
+    fn takes(&self, d: &Demand) -> u32 {
+        if super::fleet::allows(d, &self.machine_type, &self.zone, self.spot) {
+            fits(&self.free, &[d.cpus, d.gpus, d.memory_gb])
+        } else {
+            0
+        }
+    }
+
     fn book(&mut self, b: Booked) {
         for (f, a) in self.free.iter_mut().zip(b.amount) {
             *f -= a;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -248,6 +248,9 @@
     /// May use spot machines.
     #[prost(bool, tag = "7")]
     pub spot: bool,
+    /// Rank of service.
+    #[prost(uint32, tag = "8")]
+    pub rank: u32,
 }
 
 /// What a seat lacks of a team's limit.
