--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -293,6 +293,8 @@
     images: ImageIndex,
     quotas: BTreeMap<String, TeamQuota>,
     quotas_read: bool,
+    /// What own seats lacked of teams' limits when last looked at.
+    own_needs: Vec<peer::QuotaNeed>,
     peers: BTreeMap<usize, PeerInfo>,
     fleet: Fleet,
     counts: Counts,
@@ -363,6 +365,7 @@
             images: ImageIndex::new(options.index_entries, options.index_age),
             quotas,
             quotas_read: false,
+            own_needs: Vec::new(),
             peers,
             fleet: Fleet::default(),
             counts: Counts::default(),
@@ -551,6 +554,11 @@
         }
         info.heard = Some(now);
         info.state_ok = frame.state_ok;
+        if !frame.state_ok {
+            // It cannot act: what it said that it needs must hold up nobody.
+            info.demand.clear();
+            info.needs.clear();
+        }
         if frame.state_ok {
             info.well_since.get_or_insert(now);
         }
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -269,6 +269,15 @@
         }
         let need = [spec.cpus, spec.gpus, spec.memory_gb];
         let grant = self.quotas.get(&spec.team).map_or([0.0, 0.0], |q| q.grant(s));
+        let rank = job.rank();
+        if self.quota_rank(&spec.team).is_some_and(|urgent| urgent < rank) {
+            // Placed now, it would be stopped again for those that lack the
+            // grant, and so without end, before the grant can change hands.
+            if let Some(j) = self.jobs.get_mut(id) {
+                j.waits = "more urgent tasks of the team lack its limit";
+            }
+            return;
+        }
         let mut used = self.seat_usage(s, &spec.team);
         let slack = place::slack(&self.options, spec.image_gb);
         let pack = blocked.iter().any(|d| d.cpus > spec.cpus || d.memory_gb > spec.memory_gb);
--- a/src/controller/quotas.rs
+++ b/src/controller/quotas.rs
@@ -46,6 +46,21 @@
         list
     }
 
+    /// The most urgent rank that lacks some of a team's limit, on any seat.
+    pub(super) fn quota_rank(&self, team: &str) -> Option<u32> {
+        if !self.quotas.get(team).is_some_and(|q| q.limited()) {
+            return None;
+        }
+        self.peers
+            .iter()
+            .filter(|(n, _)| self.peer_alive(**n))
+            .flat_map(|(_, p)| &p.needs)
+            .chain(&self.own_needs)
+            .filter(|n| n.team == team)
+            .map(|n| n.rank)
+            .min()
+    }
+
     pub(super) fn tend_quotas(&mut self) {
         if !self.acting() {
             return;
@@ -56,6 +71,7 @@
             return self.state(Op::QuotaList, call);
         }
         let own = self.quota_needs();
+        self.own_needs.clone_from(&own);
         let teams: Vec<String> =
             self.quotas.iter().filter(|(_, q)| q.limited()).map(|(t, _)| t.clone()).collect();
         for team in teams {
