--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -749,12 +749,10 @@
                 }
                 j.cancelled_at.get_or_insert(now);
             }
-            Some(s) => {
-                if j.done_told || j.cancelled_at.is_some() {
-                    self.broken.push(format!("went_back: {id} called {s}"));
-                }
+            Some(s) if j.done_told || j.cancelled_at.is_some() => {
+                self.broken.push(format!("went_back: {id} called {s}"));
             }
-            None => {}
+            _ => {}
         }
         if first || (matches!(origin, Origin::Poll(_))) {
             self.at(now + Micros::secs(5), Ev::Poll(id));
