--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -307,7 +307,7 @@
     dirty_progress: BTreeSet<String>,
     note_cancelled: Vec<String>,
     note_gone: Vec<String>,
-    note_preempt: Vec<peer::SeenTask>,
+    note_preempt: Vec<peer::Preempt>,
     sync_peers: BTreeSet<usize>,
     place_wanted: bool,
     placed_at: Micros,
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -5,7 +5,7 @@
 use super::machine::Key;
 use super::seat;
 use super::{Controller, Known, Op};
-use crate::peer::{Frame, MachineView, MachineWants, SeatWants, Seen, SeenTask, WantedTask};
+use crate::peer::{Frame, MachineView, MachineWants, Preempt, SeatWants, Seen, WantedTask};
 use crate::state::{StateCall, StateReply};
 use crate::time::Micros;
 use crate::wire::{Condition, Txn, Write};
@@ -153,20 +153,25 @@
         self.dirty_wants.insert((s, machine));
     }
 
-    /// Another seat needs the room of one of our tasks.
-    pub(super) fn give_way(&mut self, t: &SeenTask) {
+    /// One of our tasks is to make room for a more urgent one.
+    pub(super) fn give_way(&mut self, t: &Preempt) {
         let Some(job) = self.jobs.get_mut(&t.job) else {
             return;
         };
+        let saves = t.save && job.spec.checkpoint_s > 0.0;
+        let grace = if saves {
+            Micros::from_secs_f64(job.spec.save_s) + Micros::secs(1)
+        } else {
+            // At once: what it has saved by itself is kept.
+            Micros::ZERO
+        };
         let there = job
             .part_of(t.index)
             .and_then(|p| p.placed.get(&t.index))
             .is_some_and(|p| p.attempt == t.attempt && p.stop.is_none());
         if there {
             self.counts.preempted += 1;
-            // At once: what it has saved by itself is kept, and the room is
-            // needed sooner than a further save takes.
-            self.stop_task(&t.job, t.index, Micros::ZERO);
+            self.stop_task(&t.job, t.index, grace);
         }
     }
 
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -6,7 +6,7 @@
 use super::machine::Key;
 use super::place::{self, Candidate};
 use super::quota::{Amount, EPS};
-use crate::peer::{Demand, Seen, SeenTask};
+use crate::peer::{Demand, Preempt, Seen, SeenTask};
 use crate::time::Micros;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -14,6 +14,9 @@
 /// Least time between two passes: what happens meanwhile is dealt with together.
 const PASS: Micros = Micros::millis(20);
 
+/// Objectives below this leave no time for saves.
+const SHORT_S: f64 = 10.0;
+
 /// A task booked on a machine.
 #[derive(Debug, Clone)]
 struct Booked {
@@ -22,7 +25,7 @@
     amount: [f64; 3],
     task: SeenTask,
     stopping: bool,
-    /// Seconds of work that stopping it would lose.
+    /// CPU seconds of work that stopping it at once would lose.
     loss: f64,
 }
 
@@ -155,7 +158,7 @@
                             seen: Seen::Running as i32,
                         },
                         stopping: t.stop_ms.is_some(),
-                        loss: self.loss(name, &t.job, t.index, t.attempt, t.checkpoint_s),
+                        loss: t.cpus * self.loss(name, &t.job, t.index, t.attempt, t.checkpoint_s),
                     });
                 }
             }
@@ -182,7 +185,8 @@
                             seen: Seen::Running as i32,
                         },
                         stopping: p.stop.is_some(),
-                        loss: self.loss(name, id, *index, p.attempt, j.spec.checkpoint_s),
+                        loss: j.spec.cpus
+                            * self.loss(name, id, *index, p.attempt, j.spec.checkpoint_s),
                     });
                 }
             }
@@ -282,6 +286,7 @@
         let slack = place::slack(&self.options, spec.image_gb);
         let pack = blocked.iter().any(|d| d.cpus > spec.cpus || d.memory_gb > spec.memory_gb);
         let mut zones = job.zones();
+        let save = self.time_to_save(job);
         let reason = loop {
             let Some(job) = self.jobs.get(id) else {
                 return;
@@ -312,7 +317,7 @@
             let slot = &slots[at];
             let hit = self.images.holds(now, &spec.image, &slot.machine, slot.session);
             for b in std::mem::take(&mut slots[at].victims) {
-                self.ask_to_stop(&b);
+                self.ask_to_stop(&b, save);
             }
             let slot = &mut slots[at];
             let Some(job) = self.jobs.get_mut(id) else {
@@ -403,7 +408,7 @@
                 0.0
             } else {
                 let rate = self.types.get(&slot.machine_type).map_or(1.0, |t| t.fetch_gb_per_s);
-                spec.image_gb / rate.max(0.01)
+                spec.cpus * spec.image_gb / rate.max(0.01)
             };
             let mut victims = Vec::new();
             for i in order {
@@ -437,15 +442,28 @@
         Some(at)
     }
 
-    fn ask_to_stop(&mut self, b: &Booked) {
+    fn ask_to_stop(&mut self, b: &Booked, save: bool) {
         log::debug!("task {}/{} makes room", b.task.job, b.task.index);
-        if self.jobs.contains_key(&b.task.job) {
-            self.give_way(&b.task);
+        let p =
+            Preempt { job: b.task.job.clone(), index: b.task.index, attempt: b.task.attempt, save };
+        if self.jobs.contains_key(&p.job) {
+            self.give_way(&p);
         } else {
-            self.note_preempt.push(b.task.clone());
+            self.note_preempt.push(p);
         }
     }
 
+    /// Whether the objectives of a job's class leave time for the tasks that
+    /// make room to save first.
+    fn time_to_save(&self, job: &Job) -> bool {
+        self.settings
+            .objectives
+            .iter()
+            .filter(|o| o.class == job.spec.class)
+            .filter_map(|o| o.within_s)
+            .all(|within| within >= SHORT_S)
+    }
+
     /// Whether a job's tasks may go to a machine at all, room aside.
     fn suits(&self, job: &Job, zones: &BTreeMap<Rc<str>, u32>, m: &Slot) -> bool {
         let spec = &job.spec;
--- a/src/controller/quotas.rs
+++ b/src/controller/quotas.rs
@@ -2,7 +2,7 @@
 
 use super::quota::{self, EPS, Need};
 use super::{Controller, Op, seat};
-use crate::peer::{QuotaNeed, Seen, SeenTask};
+use crate::peer::{Preempt, QuotaNeed};
 use crate::state::{StateCall, StateReply};
 use crate::wire::{Condition, Txn, Write};
 use serde_json::Value;
@@ -142,7 +142,7 @@
         // needs no further stops.
         let mut coming = q.free()[0];
         let (mut total, mut ours) = (0.0, 0.0);
-        let mut victims: Vec<(f64, SeenTask, f64)> = Vec::new();
+        let mut victims: Vec<(f64, Preempt, f64)> = Vec::new();
         for (n, w) in self.wants.iter().enumerate() {
             for (machine, (_, tasks)) in &w.machines {
                 for t in tasks.iter().filter(|t| t.team == team) {
@@ -154,12 +154,11 @@
                             ours += t.cpus;
                             let loss =
                                 self.loss(machine, &t.job, t.index, t.attempt, t.checkpoint_s);
-                            let seen = Seen::Running as i32;
-                            let task = SeenTask {
+                            let task = Preempt {
                                 job: t.job.clone(),
                                 index: t.index,
                                 attempt: t.attempt,
-                                seen,
+                                save: true,
                             };
                             victims.push((loss, task, t.cpus));
                         }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -273,6 +273,23 @@
     pub rank: u32,
 }
 
+/// A task that is asked to make room.
+#[derive(Clone, PartialEq, Message)]
+pub struct Preempt {
+    /// Job.
+    #[prost(string, tag = "1")]
+    pub job: String,
+    /// Number of the task in its job.
+    #[prost(uint32, tag = "2")]
+    pub index: u32,
+    /// Attempt.
+    #[prost(uint64, tag = "3")]
+    pub attempt: u64,
+    /// There is time for it to save first.
+    #[prost(bool, tag = "4")]
+    pub save: bool,
+}
+
 /// One message between controllers.
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
@@ -321,7 +338,7 @@
     /// Tasks of other seats that the sender asks to be stopped for more
     /// urgent ones.
     #[prost(message, repeated, tag = "15")]
-    pub preempt: Vec<SeenTask>,
+    pub preempt: Vec<Preempt>,
 }
 
 /// Appends a frame with its length in front.
