Never place a task where an earlier attempt of it is still listed

An attempt whose direct start got no answer is kept uncleared, since the start may come late; another attempt of the same task on that machine took its place, was cleared, and the late start then ran the first one beside a third. Guard in the placer, with its test.

--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -299,7 +299,11 @@
             }
             let candidates: Vec<Candidate<'_>> = slots
                 .iter()
-                .filter(|m| self.suits(job, &zones, m) && fits(&m.free, &need) > 0)
+                .filter(|m| {
+                    self.suits(job, &zones, m)
+                        && fits(&m.free, &need) > 0
+                        && !self.lists(&m.machine, id, index)
+                })
                 .map(|m| Candidate {
                     machine: &m.machine,
                     booked: m.tasks.len() as u32,
@@ -309,7 +313,7 @@
                 .collect();
             let at = match place::choose(&candidates, slack, pack) {
                 Some(chosen) => slots.iter().position(|m| m.machine == chosen),
-                None => self.make_room(job, &zones, slots, usage),
+                None => self.make_room(job, index, &zones, slots, usage),
             };
             let Some(at) = at else {
                 break "no machine with room";
@@ -377,6 +381,7 @@
     fn make_room(
         &self,
         job: &Job,
+        index: u32,
         zones: &BTreeMap<Rc<str>, u32>,
         slots: &mut [Slot],
         usage: &mut BTreeMap<String, Amount>,
@@ -386,7 +391,7 @@
         let entitled = self.within_guarantee(usage, &spec.team, [spec.cpus, spec.gpus]);
         let mut best: Option<(f64, usize, Vec<usize>)> = None;
         for (at, slot) in slots.iter().enumerate() {
-            if !self.suits(job, zones, slot) {
+            if !self.suits(job, zones, slot) || self.lists(&slot.machine, &spec.id, index) {
                 continue;
             }
             let mut order: Vec<usize> = (0..slot.tasks.len())
@@ -473,6 +478,16 @@
             && !job.avoid.contains(m.machine.as_str())
     }
 
+    /// Whether a machine still lists an earlier attempt of a task. One that
+    /// ended and is kept, since a late command may start it anew, would be
+    /// forgotten by a worker that takes another attempt in its place; and then
+    /// the late command would start the task a second time.
+    fn lists(&self, machine: &str, job: &str, index: u32) -> bool {
+        self.views
+            .get(machine)
+            .is_some_and(|v| v.tasks.iter().any(|t| t.index == index && t.job == job))
+    }
+
     /// Waiting tasks by shape, as far as their teams' limits let them run.
     pub(super) fn demand(&self) -> Vec<Demand> {
         let usage = self.team_usage();
--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -41,6 +41,8 @@
     pub state_cuts: Vec<(usize, u64, u64)>,
     /// Two controllers cannot reach each other; frames are held.
     pub peer_cuts: Vec<(usize, usize, u64, u64)>,
+    /// Frames from one controller to another are held; the other way is open.
+    pub one_way: Vec<(usize, usize, u64, u64)>,
     /// A worker is cut off (`true`: hangs); what is sent to it arrives late.
     pub worker_cuts: Vec<(usize, u64, u64, bool)>,
     /// Chance that a transaction's answer is lost.
@@ -364,12 +366,18 @@
             Ev::Peer { from, link, to, frame } => {
                 let current = self.links.get(&(from, to)).is_some_and(|l| l.0 == link);
                 if current && self.nodes[to].is_some() {
-                    if self.peers_cut(from, to) {
+                    let one_way = self
+                        .troubles
+                        .one_way
+                        .iter()
+                        .any(|(a, b, f, t)| (*a, *b) == (from, to) && self.during(*f, *t));
+                    if one_way || self.peers_cut(from, to) {
                         // Held, and delivered in order afterwards.
                         let end = self
                             .troubles
                             .peer_cuts
                             .iter()
+                            .chain(&self.troubles.one_way)
                             .filter(|c| self.during(c.2, c.3))
                             .map(|c| c.3)
                             .max()
@@ -520,6 +528,9 @@
             self.watches.push((node, incarnation, id, prefix.clone(), *after, until));
             return self.wake_watches();
         }
+        if let StateCall::Txn(txn) = &call {
+            self.broken.extend(store::unfenced(txn));
+        }
         if lose && matches!(call, StateCall::Txn(_)) {
             if self.chance(self.troubles.late) {
                 let late = Micros::millis(self.rng.random_range(0..10_000));
@@ -648,6 +659,11 @@
             {
                 self.broken.push(format!("ran_cancelled: {task} begun"));
             }
+            let w = &self.workers[worker];
+            let attempt = w.attempt(&task).unwrap_or(0);
+            if !self.store.written(&task, &w.name, attempt) && j.cancelled_at.is_none() {
+                self.broken.push(format!("{task} attempt {attempt} begun before it was written"));
+            }
             for (n, w) in self.workers.iter().enumerate() {
                 if n != worker && !w.gone && w.has(&task) {
                     self.broken.push(format!(
--- a/tests/rehearsal/store.rs
+++ b/tests/rehearsal/store.rs
@@ -131,6 +131,21 @@
         }
     }
 
+    /// Whether an attempt of a task was ever written down for a machine. The
+    /// log is asked, not the keys: the job may be over by now.
+    pub fn written(&self, task: &str, machine: &str, attempt: u64) -> bool {
+        let Some((job, index)) = task.split_once('/') else {
+            return false;
+        };
+        let index: u64 = index.parse().expect("a number");
+        self.log.iter().rev().any(|c| {
+            let here = c.put.as_ref().is_some_and(|k| k.split('/').nth(2) == Some(job));
+            here && c.value.get("p").and_then(Value::as_array).is_some_and(|list| {
+                list.iter().any(|p| p[0] == index && p[1] == machine && p[3] == attempt)
+            })
+        })
+    }
+
     pub fn changes(&self, prefix: &str, after: u64) -> Vec<Change> {
         self.log
             .iter()
@@ -142,3 +157,26 @@
             .collect()
     }
 }
+
+/// What of a transaction lacks the condition that fences it: tasks and grants
+/// need the mark of the writer's seat, changes of tasks also that of the job.
+pub fn unfenced(txn: &millethold::wire::Txn) -> Vec<String> {
+    let on = |prefix: &str| {
+        txn.conditions.iter().any(|c| c.key.starts_with(prefix) && !c.key.is_empty())
+    };
+    let mut lacks = Vec::new();
+    for w in &txn.writes {
+        let (key, put) = match w {
+            Write::Put { key, .. } => (key, true),
+            Write::Delete { key } => (key, false),
+        };
+        let seat = key.starts_with("w/") || key.starts_with("quota/");
+        if seat && !txn.conditions.iter().any(|c| c.key.starts_with("hold/") && c.version > 0) {
+            lacks.push(format!("{key} is written without a seat's mark"));
+        }
+        if put && key.starts_with("w/") && !on("j/") {
+            lacks.push(format!("{key} is written without its job's mark"));
+        }
+    }
+    lacks
+}
--- a/tests/rehearsal/worker.rs
+++ b/tests/rehearsal/worker.rs
@@ -67,6 +67,10 @@
         self.tasks.iter().filter(|(_, t)| t.state != TaskState::Exited).map(|(k, _)| k)
     }
 
+    pub fn attempt(&self, task: &str) -> Option<u64> {
+        self.tasks.get(task).map(|t| t.attempt)
+    }
+
     pub fn has(&self, task: &str) -> bool {
         self.tasks.get(task).is_some_and(|t| t.state != TaskState::Exited)
     }
--- a/tests/three_controllers.rs
+++ b/tests/three_controllers.rs
@@ -31,6 +31,65 @@
     ]
 }
 
+/// Low work everywhere, and urgent work that makes it stop again and again.
+fn crowded() -> Vec<Plan> {
+    let mut plans = vec![];
+    for s in [3, 4, 5, 30, 31] {
+        let mut low = Plan::new(s, 12, 2.0, 25.0);
+        low.urgency = "low";
+        low.team = "blue";
+        plans.push(low);
+    }
+    for s in (12..80).step_by(4) {
+        let mut urgent = Plan::new(s, 4, 2.0, 3.0);
+        urgent.urgency = "high";
+        urgent.team = "blue";
+        plans.push(urgent);
+    }
+    plans
+}
+
+#[test]
+fn preemption() {
+    let table = [
+        ("quiet", Troubles::default()),
+        (
+            "wants held one way",
+            Troubles {
+                one_way: vec![(0, 1, 13, 20), (1, 2, 22, 30), (2, 0, 34, 41), (0, 2, 50, 60)],
+                ..Troubles::default()
+            },
+        ),
+        (
+            "held, lost and late",
+            Troubles {
+                one_way: vec![(1, 0, 15, 30)],
+                held: 0.1,
+                lost: 0.03,
+                late: 0.5,
+                crashes: vec![(26, 1)],
+                back_ms: 500,
+                ..Troubles::default()
+            },
+        ),
+    ];
+    for (name, troubles) in table {
+        for seed in 60..64 {
+            let mut world = World::new(seed, &crowded(), troubles.clone());
+            world.run_until(600);
+            assert!(
+                world.broken.is_empty(),
+                "{name}, seed {seed}, at {:?}: {:?}",
+                world.now,
+                world.broken
+            );
+            let rest = world.unfinished();
+            assert!(rest.is_empty(), "{name}, seed {seed}: unfinished {rest:?}");
+            assert!(world.starts > 128, "{name}, seed {seed}: nothing was ever stopped");
+        }
+    }
+}
+
 fn play(name: &str, seeds: std::ops::Range<u64>, end_s: u64, troubles: &Troubles) {
     for seed in seeds {
         let mut world = World::new(seed, &plans(), troubles.clone());
