--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -229,6 +229,7 @@
         let Some(p) = job.end(index, seen == Seen::Done) else {
             return;
         };
+        log::debug!("task {id}/{index} ended on {}: {seen:?}", p.machine);
         match seen {
             Seen::Done => {
                 job.failures = 0;
