Start hurried tasks where their image is, by preemption if that loses less

Cause: of the timber yard's dispatch-list starts within 4 s nearly all late ones waited for a fetch of 3 to 9 s while a holder had room or low work. Now: no more work is stopped than the fetch takes.

--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -283,8 +283,10 @@
             return;
         }
         let mut used = self.seat_usage(s, &spec.team);
-        let slack = place::slack(&self.options, spec.image_gb);
-        let pack = blocked.iter().any(|d| d.cpus > spec.cpus || d.memory_gb > spec.memory_gb);
+        let hurried = self.fetch_too_slow(job);
+        let slack = if hurried { u32::MAX } else { place::slack(&self.options, spec.image_gb) };
+        let pack =
+            !hurried && blocked.iter().any(|d| d.cpus > spec.cpus || d.memory_gb > spec.memory_gb);
         let mut zones = job.zones();
         let save = self.time_to_save(job);
         let reason = loop {
@@ -311,9 +313,17 @@
                     holds_image: self.images.holds(now, &spec.image, &m.machine, m.session),
                 })
                 .collect();
-            let at = match place::choose(&candidates, slack, pack) {
+            let holder = candidates.iter().any(|c| c.holds_image);
+            let mut chosen = place::choose(&candidates, slack, pack).map(String::from);
+            if hurried && !holder && chosen.is_some() {
+                // Nobody with room has the image: a holder on which less urgent
+                // tasks make room starts the task sooner.
+                let found = self.make_room(job, index, &zones, slots, usage, true);
+                chosen = found.map(|at| slots[at].machine.clone()).or(chosen);
+            }
+            let at = match chosen.as_deref() {
                 Some(chosen) => slots.iter().position(|m| m.machine == chosen),
-                None => self.make_room(job, index, &zones, slots, usage),
+                None => self.make_room(job, index, &zones, slots, usage, false),
             };
             let Some(at) = at else {
                 break "no machine with room";
@@ -385,6 +395,7 @@
         zones: &BTreeMap<Rc<str>, u32>,
         slots: &mut [Slot],
         usage: &mut BTreeMap<String, Amount>,
+        holders: bool,
     ) -> Option<usize> {
         let spec = &job.spec;
         let need = [spec.cpus, spec.gpus, spec.memory_gb];
@@ -394,6 +405,9 @@
             if !self.suits(job, zones, slot) || self.lists(&slot.machine, &spec.id, index) {
                 continue;
             }
+            if holders && !self.images.holds(self.now, &spec.image, &slot.machine, slot.session) {
+                continue;
+            }
             let mut order: Vec<usize> = (0..slot.tasks.len())
                 .filter(|i| {
                     let b = &slot.tasks[*i];
@@ -413,7 +427,10 @@
                 0.0
             } else {
                 let rate = self.types.get(&slot.machine_type).map_or(1.0, |t| t.fetch_gb_per_s);
-                spec.cpus * spec.image_gb / rate.max(0.01)
+                let fetch = spec.image_gb / rate.max(0.01);
+                // Stopping others for a start that then waits for its image
+                // would gain nothing.
+                spec.cpus * if self.fetch_too_slow(job) { fetch * 100.0 } else { fetch }
             };
             let mut victims = Vec::new();
             for i in order {
@@ -427,7 +444,9 @@
                 cost += b.loss + 1.0;
                 victims.push(i);
             }
-            if fits(&free, &need) > 0 && best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
+            // For the sake of a fetch no more is thrown away than the fetch takes.
+            let worth = !holders || cost <= spec.cpus * spec.image_gb / self.least_fetch_rate();
+            if worth && fits(&free, &need) > 0 && best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
                 best = Some((cost, at, victims));
             }
         }
@@ -458,6 +477,23 @@
         }
     }
 
+    fn least_fetch_rate(&self) -> f64 {
+        self.types.values().map(|t| t.fetch_gb_per_s).fold(f64::INFINITY, f64::min).max(0.01)
+    }
+
+    /// Whether fetching a job's image takes most of the time within which its
+    /// tasks are to start. A holder with room then wins whatever its count: an
+    /// exception to the design's slack, which weighs a fetch against a queue.
+    fn fetch_too_slow(&self, job: &Job) -> bool {
+        let rate = self.least_fetch_rate();
+        self.settings
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "wait" && o.class == job.spec.class)
+            .filter_map(|o| o.within_s)
+            .any(|within| job.spec.image_gb / rate > within / 2.0)
+    }
+
     /// Whether the objectives of a job's class leave time for the tasks that
     /// make room to save first.
     fn time_to_save(&self, job: &Job) -> bool {
