--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -6,6 +6,7 @@
 //! commands the machines of its seats ([`holder`]). What it wants on machines
 //! goes out as whole-state messages that its own holder hat reads too.
 
+pub mod estimate;
 pub mod fleet;
 pub mod image;
 pub mod job;
@@ -290,6 +291,7 @@
     posts: BTreeMap<String, Post>,
     gone: BTreeSet<String>,
     draining: BTreeSet<String>,
+    estimates: estimate::Estimates,
     images: ImageIndex,
     quotas: BTreeMap<String, TeamQuota>,
     quotas_read: bool,
@@ -362,6 +364,7 @@
             posts: BTreeMap::new(),
             gone: BTreeSet::new(),
             draining: BTreeSet::new(),
+            estimates: estimate::Estimates::default(),
             images: ImageIndex::new(options.index_entries, options.index_age),
             quotas,
             quotas_read: false,
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -109,7 +109,9 @@
             return;
         };
         let spec = Rc::clone(&job.spec);
-        let typical = job.typical_run();
+        let correction = self.estimates.correction(&spec.class);
+        let typical =
+            job.usual_run().unwrap_or_else(|| Micros::from_secs_f64(spec.estimate_s * correction));
         let Some(p) = job.part_of(index).and_then(|part| part.placed.get_mut(&index)) else {
             return;
         };
@@ -233,10 +235,15 @@
         match seen {
             Seen::Done => {
                 job.failures = 0;
-                if let Some(at) = p.running_since
-                    && job.run_times.len() < 64
-                {
-                    job.run_times.push(now.since(at));
+                if let Some(at) = p.running_since {
+                    let ran = now.since(at);
+                    let estimate = job.spec.estimate_s;
+                    if estimate > 0.0 {
+                        self.estimates.learn(&job.spec.class, ran.as_secs_f64() / estimate);
+                    }
+                    if job.run_times.len() < 64 {
+                        job.run_times.push(ran);
+                    }
                 }
             }
             Seen::Failed => {
@@ -744,14 +751,13 @@
 }
 
 impl Job {
-    /// How long a task of this job typically runs: by its own completed tasks,
-    /// or by the owner's estimate, which is often wrong.
-    pub fn typical_run(&self) -> Micros {
-        if self.run_times.is_empty() {
-            return Micros::from_secs_f64(self.spec.estimate_s);
+    /// How long a task of this job runs, once enough of them have completed.
+    pub fn usual_run(&self) -> Option<Micros> {
+        if self.run_times.len() < 3 {
+            return None;
         }
         let mut times = self.run_times.clone();
         times.sort_unstable();
-        times[times.len() / 2]
+        Some(times[times.len() / 2])
     }
 }
--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -647,6 +647,13 @@
     }
 
     fn note_starts(&mut self, worker: usize, begun: Vec<String>) {
+        for (task, attempt) in std::mem::take(&mut self.workers[worker].cleared) {
+            let job = task.split('/').next().unwrap_or("");
+            let wanted = self.jobs.get(job).is_some_and(|j| !j.cancel_asked);
+            if wanted && self.store.placed(&task, attempt) {
+                self.broken.push(format!("{task} attempt {attempt} cleared, its end not stored"));
+            }
+        }
         for task in begun {
             self.starts += 1;
             let (job, index) = task.split_once('/').expect("a task's name");
--- a/tests/rehearsal/store.rs
+++ b/tests/rehearsal/store.rs
@@ -146,6 +146,22 @@
         })
     }
 
+    /// Whether an attempt is written down as placed at present.
+    pub fn placed(&self, task: &str, attempt: u64) -> bool {
+        let Some((job, index)) = task.split_once('/') else {
+            return false;
+        };
+        let index: u64 = index.parse().expect("a number");
+        self.keys.iter().any(|(k, (value, _, _))| {
+            k.starts_with("w/")
+                && k.split('/').nth(2) == Some(job)
+                && value
+                    .get("p")
+                    .and_then(Value::as_array)
+                    .is_some_and(|list| list.iter().any(|p| p[0] == index && p[3] == attempt))
+        })
+    }
+
     pub fn changes(&self, prefix: &str, after: u64) -> Vec<Change> {
         self.log
             .iter()
--- a/tests/rehearsal/worker.rs
+++ b/tests/rehearsal/worker.rs
@@ -32,6 +32,8 @@
     pub next_report: Micros,
     pub in_flight: Option<u64>,
     changed: bool,
+    /// Attempts that were cleared and not yet looked at by the world.
+    pub cleared: Vec<(String, u64)>,
     last_sent: Micros,
     reports: u64,
 }
@@ -57,6 +59,7 @@
             next_report: now,
             in_flight: None,
             changed: true,
+            cleared: Vec::new(),
             last_sent: Micros::ZERO,
             reports: 0,
         }
@@ -275,6 +278,7 @@
                         .is_some_and(|t| t.attempt == attempt && t.state == TaskState::Exited)
                     {
                         self.tasks.remove(&task);
+                        self.cleared.push((task, attempt));
                         self.changed = true;
                     }
                 }
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -1,6 +1,7 @@
 //! Tables of cases for the pure parts.
 
 use millethold::config::{Config, Options, Team};
+use millethold::controller::estimate::Estimates;
 use millethold::controller::fleet::{self, Fleet, Room};
 use millethold::controller::image::ImageIndex;
 use millethold::controller::job::{self, Job};
@@ -549,6 +550,31 @@
     assert_eq!(ask(wait(1, 1.0, true, None), &refused), Some((offer("small", "a", true), 1)));
 }
 
+#[test]
+fn estimates() {
+    // Ratios learnt, correction.
+    let table = [
+        (vec![], 1.0),
+        (vec![2.0; 4], 1.0),
+        (vec![2.0; 5], 2.0),
+        (vec![1.0, 1.0, 1.0, 9.0, 9.0], 1.0),
+        (vec![0.001; 9], 0.1),
+    ];
+    for (ratios, want) in table {
+        let mut e = Estimates::default();
+        for r in &ratios {
+            e.learn("c", *r);
+        }
+        assert_eq!(e.correction("c"), want, "{ratios:?}");
+        assert_eq!(e.correction("another"), 1.0);
+    }
+    let mut e = Estimates::default();
+    for r in [vec![1.0; 50], vec![3.0; 50]].concat() {
+        e.learn("c", r);
+    }
+    assert_eq!(e.correction("c"), 3.0, "what is long past does not count");
+}
+
 #[test]
 fn state_answers() {
     let txn = StateCall::Txn(Txn { conditions: vec![], writes: vec![] });
