Let a request to make room stand for a second and cut senders that drip

Cause: a placer whose victim's seat was out of reach asked for the same task in every pass (rehearsal, wants held one way). A sender of one byte every few seconds was never cut.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -310,6 +310,8 @@
     note_cancelled: Vec<String>,
     note_gone: Vec<String>,
     note_preempt: Vec<peer::Preempt>,
+    /// Tasks of other seats that were asked to make room, and when.
+    asked: BTreeMap<Key, Micros>,
     sync_peers: BTreeSet<usize>,
     place_wanted: bool,
     placed_at: Micros,
@@ -381,6 +383,7 @@
             note_cancelled: Vec::new(),
             note_gone: Vec::new(),
             note_preempt: Vec::new(),
+            asked: BTreeMap::new(),
             sync_peers: BTreeSet::new(),
             place_wanted: false,
             placed_at: Micros::ZERO,
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -14,6 +14,8 @@
 /// Least time between two passes: what happens meanwhile is dealt with together.
 const PASS: Micros = Micros::millis(20);
 
+/// How long a request to make room stands.
+const ASKED: Micros = Micros::secs(1);
 /// Objectives below this leave no time for saves.
 const SHORT_S: f64 = 10.0;
 
@@ -157,7 +159,7 @@
                             attempt: t.attempt,
                             seen: Seen::Running as i32,
                         },
-                        stopping: t.stop_ms.is_some(),
+                        stopping: t.stop_ms.is_some() || self.was_asked(&t.job, t.index, t.attempt),
                         loss: t.cpus * self.loss(name, &t.job, t.index, t.attempt, t.checkpoint_s),
                     });
                 }
@@ -473,10 +475,21 @@
         if self.jobs.contains_key(&p.job) {
             self.give_way(&p);
         } else {
+            let key = Key { job: p.job.clone(), index: p.index, attempt: p.attempt };
+            let now = self.now;
+            self.asked.retain(|_, at| now.since(*at) < ASKED);
+            self.asked.insert(key, now);
             self.note_preempt.push(p);
         }
     }
 
+    /// Whether another seat's task was asked to make room a moment ago. Asked
+    /// again, it would be counted on twice; and its seat may be out of reach.
+    fn was_asked(&self, job: &str, index: u32, attempt: u64) -> bool {
+        let key = Key { job: job.to_string(), index, attempt };
+        self.asked.get(&key).is_some_and(|at| self.now.since(*at) < ASKED)
+    }
+
     fn least_fetch_rate(&self) -> f64 {
         self.types.values().map(|t| t.fetch_gb_per_s).fold(f64::INFINITY, f64::min).max(0.01)
     }
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -95,6 +95,9 @@
     close_after: bool,
     /// Last time that something arrived.
     active: Micros,
+    /// When the message that is arriving began. A sender that drips its bytes
+    /// is always active and would never be cut by that.
+    begun: Micros,
 }
 
 #[derive(Default)]
@@ -283,6 +286,7 @@
                 written: 0,
                 close_after: false,
                 active: self.now,
+                begun: self.now,
             },
         );
         Ok(id)
@@ -356,6 +360,9 @@
                 }
                 Ok(n) => {
                     conn.active = self.now;
+                    if conn.inbound.is_empty() {
+                        conn.begun = self.now;
+                    }
                     conn.inbound.extend_from_slice(&self.buffer[..n]);
                     // A short read with a whole message in it: more would
                     // raise a new edge, so a further call is saved.
@@ -875,8 +882,9 @@
             .iter()
             .filter(|(_, c)| match c.role {
                 Role::Sender { busy: false, .. } => {
-                    let partial = !c.inbound.is_empty() || !c.outbound.is_empty();
-                    now > c.active + if partial { SLOW_SENDER } else { IDLE_SENDER }
+                    let slow = !c.inbound.is_empty() && now > c.begun + SLOW_SENDER;
+                    let deaf = !c.outbound.is_empty() && now > c.active + SLOW_SENDER;
+                    slow || deaf || now > c.active + IDLE_SENDER
                 }
                 Role::Client { call: None, place: Place::Worker(_) } => {
                     now > c.active + Micros::secs(30)
--- a/tests/three_controllers.rs
+++ b/tests/three_controllers.rs
@@ -74,7 +74,9 @@
         ),
     ];
     for (name, troubles) in table {
-        for seed in 60..64 {
+        // Seed 72 is the one of forty that shows a task taken for gone on the
+        // strength of a stop which its machine's seat has not heard.
+        for seed in [60, 61, 62, 63, 72] {
             let mut world = World::new(seed, &crowded(), troubles.clone());
             world.run_until(600);
             assert!(
