Adopt a job whose late acceptance met a repeat of its submission

The acceptance's answer was lost and it was applied late, while the user's repeat was under way; the watch's event was passed over for that reason, the repeat met the existing key and was answered 200, and nobody ran the job. Now whoever reads such a record adopts the job.

--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -262,8 +262,13 @@
                 self.note_known(job, known);
                 // This answer may have been overtaken by a later one.
                 let known = self.known.get(job).copied().unwrap_or(known);
-                if known.stage == StoredStage::Cancelled {
-                    self.job_cancelled(job);
+                match known.stage {
+                    StoredStage::Cancelled => self.job_cancelled(job),
+                    // Its acceptance may have been applied after it was given
+                    // up, while a repeat of the submission was under way or
+                    // the seat was being loaded: nobody would run it.
+                    StoredStage::Accepted => self.adopt(job, known.seat),
+                    StoredStage::Done => {}
                 }
                 Some(Some((known, item.version)))
             }
--- a/src/controller/seats.rs
+++ b/src/controller/seats.rs
@@ -405,7 +405,7 @@
 
     /// A job that the store holds and this process does not: its acceptance
     /// was applied after the answer had been given up.
-    fn adopt(&mut self, id: &str, s: usize) {
+    pub(super) fn adopt(&mut self, id: &str, s: usize) {
         if s >= self.seats.len() || !self.runs(s) || self.jobs.contains_key(id) {
             return;
         }
@@ -418,12 +418,8 @@
             return;
         };
         info!("job {id} found in the store");
-        let loading = self.loads.entry(s).or_insert_with(|| Loading {
-            term,
-            after: Some(format!("w/{s}/{id}")),
-            listed: false,
-            ..Loading::default()
-        });
+        // The whole list again: it is short, and only unknown jobs are taken.
+        let loading = self.loads.entry(s).or_insert_with(|| Loading { term, ..Loading::default() });
         loading.after = None;
         loading.listed = false;
     }
