--- a/src/config.rs
+++ b/src/config.rs
@@ -272,7 +272,7 @@
             slack_tasks: [1, 2, 4],
             index_entries: 50_000,
             index_age: Micros::secs(90 * 60),
-            seat_lease: Micros::millis(8_000),
+            seat_lease: Micros::millis(10_000),
             hand_back: Micros::secs(15),
             queued_tasks: 300_000,
             waiting_submissions: 64,
