--- a/src/controller/job.rs
+++ b/src/controller/job.rs
@@ -62,7 +62,7 @@
 /// Bytes that a part's value takes beside its placements and description.
 const PART_OVERHEAD: usize = 1_200;
 /// Bytes that a placement takes at most, with the longest names accepted.
-const PLACEMENT_BYTES: usize = 56;
+const PLACEMENT_BYTES: usize = 68;
 /// Longest description that fits in part 0.
 pub const MAX_SPEC_BYTES: usize = 1_400;
 
@@ -84,8 +84,11 @@
     pub attempt: u64,
     /// Version of the part that first holds it: it is acted on once that is stored.
     pub version: u64,
-    /// When it was decided.
+    /// Time of day of the decision; stored, so that a later holder of the seat
+    /// knows how much a stop would lose.
     pub at: Micros,
+    /// It was read from the store: when it began to run is not known.
+    pub restored: bool,
     /// Zone, for `together` and `apart`.
     pub zone: Rc<str>,
     /// It is to be stopped, with this time to save.
@@ -128,9 +131,10 @@
     /// Ranges of completed tasks.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     d: Vec<(u32, u32)>,
-    /// Placements: task, machine, session, attempt, zone.
+    /// Placements: task, machine, session, attempt, zone, time of day
+    /// in seconds.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    p: Vec<(u32, String, u64, u64, String)>,
+    p: Vec<(u32, String, u64, u64, String, u64)>,
     /// Description, in part 0.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     s: Option<JobSpec>,
@@ -217,7 +221,10 @@
         let p = part
             .placed
             .iter()
-            .map(|(i, p)| (*i, p.machine.to_string(), p.session, p.attempt, p.zone.to_string()))
+            .map(|(i, p)| {
+                let (machine, zone) = (p.machine.to_string(), p.zone.to_string());
+                (*i, machine, p.session, p.attempt, zone, p.at.0 / 1_000_000)
+            })
             .collect();
         let stored = StoredPart {
             v: part.version,
@@ -235,7 +242,6 @@
     /// Rebuilds a job from its stored parts; `None` without part 0, which
     /// is written with the acceptance and dropped last.
     pub fn restore(
-        now: Micros,
         seat: usize,
         mark: u64,
         part_size: u32,
@@ -259,14 +265,15 @@
                     }
                 }
             }
-            for (i, machine, session, attempt, zone) in read.p {
+            for (i, machine, session, attempt, zone, at) in read.p {
                 if part.pending.remove(&i) {
                     let placement = Placement {
                         machine: machine.into(),
                         session,
                         attempt,
                         version: read.v,
-                        at: now,
+                        at: Micros::secs(at),
+                        restored: true,
                         zone: zone.into(),
                         stop: None,
                         stop_seq: None,
@@ -319,7 +326,7 @@
     /// Puts a task on a machine, in memory; returns the attempt.
     pub fn put(
         &mut self,
-        now: Micros,
+        wall: Micros,
         index: u32,
         machine: &str,
         session: u64,
@@ -339,7 +346,8 @@
                 session,
                 attempt,
                 version,
-                at: now,
+                at: wall,
+                restored: false,
                 zone: zone.into(),
                 stop: None,
                 stop_seq: None,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -286,8 +286,6 @@
 
     wants: Vec<HeardWants>,
     views: BTreeMap<String, MachineView>,
-    /// Since when the tasks of each machine have been seen running.
-    running_since: BTreeMap<String, BTreeMap<Key, Micros>>,
     posts: BTreeMap<String, Post>,
     gone: BTreeSet<String>,
     draining: BTreeSet<String>,
@@ -362,7 +360,6 @@
             submissions: 0,
             wants: vec![HeardWants::default(); count],
             views: BTreeMap::new(),
-            running_since: BTreeMap::new(),
             posts: BTreeMap::new(),
             gone: BTreeSet::new(),
             draining: BTreeSet::new(),
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -2,7 +2,6 @@
 //! written down, and what is therefore wanted on machines.
 
 use super::job::{self, Job, JobRecord, Placement, StoredStage};
-use super::machine::Key;
 use super::seat;
 use super::{Controller, Known, Op};
 use crate::peer::{Frame, MachineView, MachineWants, Preempt, SeatWants, Seen, WantedTask};
@@ -38,7 +37,7 @@
         let Some(term) = self.jobs.get(id).and_then(|j| self.my_term(j.seat)) else {
             return;
         };
-        let now = self.now;
+        let (now, wall) = (self.now, self.wall());
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -75,8 +74,10 @@
                     if p.seen != Some(seen) {
                         p.seen = Some(seen);
                         if seen == Seen::Running && p.running_since.is_none() {
-                            p.running_since = Some(now);
-                            let took = now.since(p.at).as_millis();
+                            let took = wall.since(p.at);
+                            let began = if p.restored { now.since(took) } else { now };
+                            p.running_since = Some(began);
+                            let took = took.as_millis();
                             log::debug!("task {id}/{index} runs on {machine} after {took} ms");
                         }
                         self.dirty_progress.insert(id.to_string());
@@ -214,7 +215,6 @@
         }
         self.posts.remove(machine);
         self.views.remove(machine);
-        self.running_since.remove(machine);
         self.dirty_posts.remove(machine);
         self.fleet.forget(machine);
         for s in 0..self.seats.len() {
@@ -627,6 +627,7 @@
                 rank,
                 team: spec.team.clone(),
                 checkpoint_s: spec.checkpoint_s,
+                placed_s: p.at.0 / 1_000_000,
             };
             // Nothing is asked for before it is written down: a start that
             // nobody remembers could run beside the next one.
@@ -724,18 +725,6 @@
             }
         }
         let machine = view.machine.clone();
-        let old = self.running_since.remove(&machine).unwrap_or_default();
-        let running = view
-            .tasks
-            .iter()
-            .filter(|t| t.seen() == Seen::Running)
-            .map(|t| {
-                let key = Key { job: t.job.clone(), index: t.index, attempt: t.attempt };
-                let since = old.get(&key).copied().unwrap_or(now);
-                (key, since)
-            })
-            .collect();
-        self.running_since.insert(machine.clone(), running);
         self.views.insert(machine.clone(), view);
         for s in 0..self.seats.len() {
             self.judge_machine(s, &machine);
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -160,7 +160,7 @@
                             seen: Seen::Running as i32,
                         },
                         stopping: t.stop_ms.is_some() || self.was_asked(&t.job, t.index, t.attempt),
-                        loss: t.cpus * self.loss(name, &t.job, t.index, t.attempt, t.checkpoint_s),
+                        loss: t.cpus * self.loss(Micros::secs(t.placed_s), t.checkpoint_s),
                     });
                 }
             }
@@ -187,8 +187,7 @@
                             seen: Seen::Running as i32,
                         },
                         stopping: p.stop.is_some(),
-                        loss: j.spec.cpus
-                            * self.loss(name, id, *index, p.attempt, j.spec.checkpoint_s),
+                        loss: j.spec.cpus * self.loss(p.at, j.spec.checkpoint_s),
                     });
                 }
             }
@@ -259,7 +258,7 @@
         usage: &mut BTreeMap<String, Amount>,
         blocked: &[Demand],
     ) {
-        let now = self.now;
+        let (now, wall) = (self.now, self.wall());
         let Some(job) = self.jobs.get(id) else {
             return;
         };
@@ -339,7 +338,8 @@
             let Some(job) = self.jobs.get_mut(id) else {
                 return;
             };
-            let Some(attempt) = job.put(now, index, &slot.machine, slot.session, &slot.zone) else {
+            let Some(attempt) = job.put(wall, index, &slot.machine, slot.session, &slot.zone)
+            else {
                 break "no machine with room";
             };
             self.counts.placed += 1;
@@ -371,18 +371,11 @@
         }
     }
 
-    /// Seconds of work that stopping a task at once would lose.
-    pub(super) fn loss(
-        &self,
-        machine: &str,
-        job: &str,
-        index: u32,
-        attempt: u64,
-        checkpoint_s: f64,
-    ) -> f64 {
-        let key = Key { job: job.to_string(), index, attempt };
-        let since = self.running_since.get(machine).and_then(|m| m.get(&key));
-        let ran = since.map_or(0.0, |at| self.now.since(*at).as_secs_f64());
+    /// Seconds of work that stopping a task at once would lose, by the time
+    /// since it was placed. That is stored and told to all: counted from when
+    /// this process first saw it run, a task would look new after every restart.
+    pub(super) fn loss(&self, placed: Micros, checkpoint_s: f64) -> f64 {
+        let ran = self.wall().since(placed).as_secs_f64();
         if checkpoint_s > 0.0 { ran % checkpoint_s } else { ran }
     }
 
--- a/src/controller/quotas.rs
+++ b/src/controller/quotas.rs
@@ -4,6 +4,7 @@
 use super::{Controller, Op, seat};
 use crate::peer::{Preempt, QuotaNeed};
 use crate::state::{StateCall, StateReply};
+use crate::time::Micros;
 use crate::wire::{Condition, Txn, Write};
 use serde_json::Value;
 
@@ -144,7 +145,7 @@
         let (mut total, mut ours) = (0.0, 0.0);
         let mut victims: Vec<(f64, Preempt, f64)> = Vec::new();
         for (n, w) in self.wants.iter().enumerate() {
-            for (machine, (_, tasks)) in &w.machines {
+            for (_, tasks) in w.machines.values() {
                 for t in tasks.iter().filter(|t| t.team == team) {
                     if t.stop_ms.is_some() {
                         coming += t.cpus;
@@ -152,8 +153,7 @@
                         total += t.cpus;
                         if n == s {
                             ours += t.cpus;
-                            let loss =
-                                self.loss(machine, &t.job, t.index, t.attempt, t.checkpoint_s);
+                            let loss = self.loss(Micros::secs(t.placed_s), t.checkpoint_s);
                             let task = Preempt {
                                 job: t.job.clone(),
                                 index: t.index,
--- a/src/controller/seats.rs
+++ b/src/controller/seats.rs
@@ -519,7 +519,6 @@
         let Some(l) = self.loads.remove(&s) else {
             return;
         };
-        let now = self.now;
         let mut count = 0;
         for (id, parts) in l.parts {
             if self.jobs.contains_key(&id) {
@@ -533,7 +532,7 @@
                 &id,
                 Known { stage: record.stage, seat: record.seat, tasks: record.tasks },
             );
-            let Some(mut job) = Job::restore(now, s, mark, self.part_size, &parts) else {
+            let Some(mut job) = Job::restore(s, mark, self.part_size, &parts) else {
                 warn!("stored tasks of job {id} cannot be read");
                 continue;
             };
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -61,6 +61,9 @@
     /// Seconds between its checkpoints, 0 if it saves none.
     #[prost(double, tag = "13")]
     pub checkpoint_s: f64,
+    /// Time of day at which it was placed, in seconds.
+    #[prost(uint64, tag = "14")]
+    pub placed_s: u64,
 }
 
 /// All that a seat wants on one machine.
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -399,12 +399,14 @@
     let stored: BTreeMap<usize, (Value, u64)> =
         [0, 1].into_iter().map(|n| (n, (j.encode_part(n), 20 + n as u64))).collect();
     // Read with other settings: the stored size of the parts holds.
-    let back = Job::restore(now, 2, 9, 100, &stored).expect("stored parts");
+    let back = Job::restore(2, 9, 100, &stored).expect("stored parts");
     assert_eq!((back.done(), back.booked(), back.pending()), (5, 1, 10));
     assert_eq!(back.accepted, Micros::secs(77));
     assert_eq!(back.parts[1].placed[&7].attempt, 3);
+    // A later holder knows since when it has been there.
+    assert_eq!((back.parts[1].placed[&7].at, back.parts[1].placed[&7].restored), (now, true));
     assert_eq!(back.parts[1].attempt, 3);
-    assert!(Job::restore(now, 2, 9, size, &BTreeMap::new()).is_none());
+    assert!(Job::restore(2, 9, size, &BTreeMap::new()).is_none());
 
     // Every state of a part fits in a value, with the longest names.
     let per = job::part_size(8.0);
@@ -413,7 +415,7 @@
     let spec = wire::parse_job(b.to_string().as_bytes()).expect("a good submission");
     let mut j = Job::new(Rc::new(spec), 0, 1, now, per);
     for i in 0..per {
-        j.put(now, i, "vm-00000000000231", 1_000, "a-zone-with-name");
+        j.put(Micros::secs(1_800_000_000), i, "vm-00000000000231", 1_000, "a-zone-with-name");
     }
     let bytes = j.encode_part(0).to_string().len();
     assert!(bytes + 1_400 < 8 * 1024, "{bytes} bytes for {per} tasks");
