--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -4,9 +4,10 @@
 use super::{Controller, Effect, Known, Op, Ticket};
 use crate::state::{StateCall, StateReply};
 use crate::time::Micros;
-use crate::wire::{self, Condition, JobSpec, JobStage, Txn, Write, path};
+use crate::wire::{self, Condition, JobAnswer, JobSpec, JobStage, Refusal, Txn, Write, path};
 use log::info;
-use serde_json::{Value, json};
+use serde::Serialize;
+use serde_json::json;
 use std::rc::Rc;
 
 /// Times that a cancellation is tried anew when something came in between.
@@ -18,7 +19,7 @@
         ticket: Ticket,
         status: u16,
         retry_after: Option<u64>,
-        body: &Value,
+        body: &impl Serialize,
     ) {
         let body = serde_json::to_vec(body).unwrap_or_default();
         self.out.push(Effect::Respond { ticket, status, retry_after, body });
@@ -28,7 +29,7 @@
         self.counts.refused += 1;
         log::debug!("answered {status}: {reason}");
         let s = if status == 429 { self.options.retry_after_s } else { 1 };
-        self.respond(ticket, status, Some(s), &json!({"error": reason}));
+        self.respond(ticket, status, Some(s), &Refusal::new(reason));
     }
 
     pub(super) fn http(&mut self, ticket: Ticket, method: &str, target: &str, body: &[u8]) {
@@ -43,23 +44,23 @@
                 None => "GET",
                 Some((_, end)) if end == path::CANCEL => "POST",
                 Some(_) => {
-                    return self.respond(ticket, 404, None, &json!({"error": "no such path"}));
+                    return self.respond(ticket, 404, None, &Refusal::new("no such path"));
                 }
             }
         } else {
-            return self.respond(ticket, 404, None, &json!({"error": "no such path"}));
+            return self.respond(ticket, 404, None, &Refusal::new("no such path"));
         };
         if method != allowed {
-            return self.respond(ticket, 405, None, &json!({"error": "method not allowed"}));
+            return self.respond(ticket, 405, None, &Refusal::new("method not allowed"));
         }
         match target {
             path::REPORT => self.report(ticket, body),
             path::JOBS => self.submit(ticket, body),
             path::HEALTH => {
                 if self.healthy() {
-                    self.respond(ticket, 200, None, &json!({"ok": true}));
+                    self.respond(ticket, 200, None, &json!({"healthy": true}));
                 } else {
-                    self.respond(ticket, 503, Some(1), &json!({"ok": false}));
+                    self.respond(ticket, 503, Some(1), &json!({"healthy": false}));
                 }
             }
             _ => {
@@ -69,7 +70,7 @@
                     Some((id, _)) => (id, true),
                 };
                 if !wire::valid_job_id(id) {
-                    return self.respond(ticket, 404, None, &json!({"error": "no such job"}));
+                    return self.respond(ticket, 404, None, &Refusal::new("no such job"));
                 }
                 if cancel { self.cancel(ticket, id) } else { self.poll(ticket, id) }
             }
@@ -102,7 +103,7 @@
         let mut spec = match wire::parse_job(body) {
             Ok(spec) => spec,
             Err(bad) => {
-                let answer = json!({"error": bad.reason, "field": bad.field});
+                let answer = Refusal { error: bad.reason, field: Some(bad.field) };
                 return match bad.id {
                     None => self.respond(ticket, 400, None, &answer),
                     // A known job's repeat is answered 200 before any other check.
@@ -116,14 +117,14 @@
                 return self.respond(ticket, 200, None, &answer);
             }
             // Another node may have cancelled it since: only the store knows.
-            let otherwise = json!({"error": "undecided"});
+            let otherwise = Refusal::new("undecided");
             return self.read_or(ticket, &spec.id, 503, Some(1), &otherwise);
         }
         if self.types.is_empty() {
             return self.later(ticket, 503, "machine types are not known yet");
         }
         if let Some(reason) = self.never_fits(&spec) {
-            return self.read_or(ticket, &spec.id, 422, None, &json!({"error": reason}));
+            return self.read_or(ticket, &spec.id, 422, None, &Refusal::new(reason));
         }
         let Some(seat) = self.accepting_seat() else {
             return self.later(ticket, 503, "no seat is held");
@@ -142,7 +143,7 @@
         }
         let size = serde_json::to_vec(&spec).map_or(usize::MAX, |v| v.len());
         if size > job::MAX_SPEC_BYTES {
-            let answer = json!({"error": "description too long", "field": ""});
+            let answer = Refusal { error: "description too long", field: Some("") };
             return self.read_or(ticket, &spec.id, 400, None, &answer);
         }
         let Some(mine) = self.seats[seat].mine.clone() else {
@@ -198,7 +199,7 @@
         id: &str,
         status: u16,
         retry_after: Option<u64>,
-        answer: &Value,
+        answer: &Refusal<'_>,
     ) {
         let body = serde_json::to_vec(answer).unwrap_or_default();
         let op =
@@ -236,7 +237,7 @@
     }
 
     /// What a user is told of a job.
-    fn job_answer(&self, id: &str, known: Known) -> Value {
+    fn job_answer<'a>(&self, id: &'a str, known: Known) -> JobAnswer<'a> {
         let (done, running) = match known.stage {
             StoredStage::Done => (known.tasks, 0),
             StoredStage::Cancelled => (self.progress.get(id).map_or(0, |p| p.0), 0),
@@ -249,7 +250,7 @@
             JobStage::Queued if running > 0 => JobStage::Running,
             stage => stage,
         };
-        json!({"ref": id, "stage": stage.word(), "done": done, "running": running})
+        JobAnswer { id, stage, done, running }
     }
 
     /// Reads `j/REF`; what cannot be read counts as not answered.
@@ -298,7 +299,7 @@
                     let answer = self.job_answer(&job, known);
                     self.respond(ticket, 200, None, &answer);
                 }
-                Some(None) => self.respond(ticket, 404, None, &json!({"error": "no such job"})),
+                Some(None) => self.respond(ticket, 404, None, &Refusal::new("no such job")),
                 None => self.later(ticket, 503, "state service away"),
             },
             Op::CancelRead { ticket, job, tries } => match self.read_record(&job, &reply) {
@@ -326,7 +327,7 @@
                     let answer = self.job_answer(&job, known);
                     self.respond(ticket, 200, None, &answer);
                 }
-                Some(None) => self.respond(ticket, 404, None, &json!({"error": "no such job"})),
+                Some(None) => self.respond(ticket, 404, None, &Refusal::new("no such job")),
                 None => self.later(ticket, 503, "state service away"),
             },
             Op::CancelWrite { ticket, job, seat, tasks, tries } => match reply {
@@ -380,14 +381,15 @@
                     self.jobs.insert(spec.id.clone(), job);
                     self.place_wanted = true;
                 }
-                let answer = json!({"ref": spec.id, "stage": "queued"});
+                let answer =
+                    JobAnswer { id: &spec.id, stage: JobStage::Queued, done: 0, running: 0 };
                 self.respond(ticket, 201, None, &answer);
             }
             StateReply::Conflict(failed) => {
                 if failed.iter().any(|k| *k == super::seat::hold_key(seat)) {
                     self.suspect_seat(seat, term);
                 }
-                let otherwise = json!({"error": "undecided"});
+                let otherwise = Refusal::new("undecided");
                 self.read_or(ticket, &spec.id, 503, Some(1), &otherwise);
             }
             // It may still be applied; the watch then shows the job.
--- a/src/controller/holder.rs
+++ b/src/controller/holder.rs
@@ -7,9 +7,8 @@
 use super::{Controller, DirectReply, Effect, Op, Ticket};
 use crate::peer::{Frame, Heard, MachineView, SeatWants, Seen, WantedTask};
 use crate::time::Micros;
-use crate::wire::{Command, DirectCommands, Report, ReportReply};
+use crate::wire::{Command, DirectCommands, Refusal, Report, ReportReply, ReportTo};
 use log::{debug, info, warn};
-use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Added to a worker's lease before its tasks count as gone.
@@ -40,7 +39,7 @@
             Err(e) => {
                 self.counts.bad_reports += 1;
                 debug!("malformed report: {e}");
-                return self.respond(ticket, 400, None, &json!({"error": "malformed report"}));
+                return self.respond(ticket, 400, None, &Refusal::new("malformed report"));
             }
         };
         if report.machine.is_empty()
@@ -49,22 +48,22 @@
             || report.session == 0
         {
             self.counts.bad_reports += 1;
-            return self.respond(ticket, 400, None, &json!({"error": "malformed report"}));
+            return self.respond(ticket, 400, None, &Refusal::new("malformed report"));
         }
         self.counts.reports += 1;
         let s = self.seat_of_machine(&report.machine);
         let Some(term) = self.my_term(s) else {
-            let away = json!({"error": "seat not held here"});
+            let away = Refusal::new("seat not held here");
             return match self.holder(s) {
                 Some(h) if h != self.me => {
-                    let answer = json!({"foreman": self.members[h]});
-                    self.respond(ticket, 421, None, &answer)
+                    let member = self.members[h].clone();
+                    self.respond(ticket, 421, None, &ReportTo { member: &member })
                 }
                 _ => self.respond(ticket, 503, Some(1), &away),
             };
         };
         if report.token > term || self.gone.contains(&report.machine) {
-            return self.respond(ticket, 503, Some(1), &json!({"error": "superseded"}));
+            return self.respond(ticket, 503, Some(1), &Refusal::new("superseded"));
         }
         let now = self.now;
         let machine = report.machine.clone();
@@ -75,7 +74,7 @@
         let Some(outcomes) = post.take_report(now, &report, term, true) else {
             // Overtaken on its way: the worker has long given it up, and an
             // answer would claim a lease that has been declared over.
-            return self.respond(ticket, 503, Some(1), &json!({"error": "overtaken"}));
+            return self.respond(ticket, 503, Some(1), &Refusal::new("overtaken"));
         };
         post.answered = Some(now);
         let known = post.known;
--- a/src/state.rs
+++ b/src/state.rs
@@ -125,8 +125,9 @@
             StateCall::Follow { prefix, after, block } => (
                 "GET",
                 format!(
-                    "{}?prefix={prefix}&after={after}&blockMs={}",
+                    "{}?prefix={prefix}&after={after}&{}={}",
                     path::FOLLOW,
+                    path::WAIT,
                     block.as_millis()
                 ),
                 None,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -34,6 +34,8 @@
     pub const EXTEND: &str = "extend";
     /// State: changes.
     pub const FOLLOW: &str = "/follow";
+    /// State: how long a watch waits, in its query.
+    pub const WAIT: &str = "blockMs";
 }
 
 /// Every job id starts with this and goes on in digits.
@@ -247,15 +249,42 @@
     Cancelled,
 }
 
-impl JobStage {
-    /// The protocol's word.
-    pub fn word(self) -> &'static str {
-        match self {
-            JobStage::Queued => "queued",
-            JobStage::Running => "running",
-            JobStage::Done => "done",
-            JobStage::Cancelled => "cancelled",
-        }
+/// What a user is told of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct JobAnswer<'a> {
+    /// Id.
+    #[serde(rename = "ref")]
+    pub id: &'a str,
+    /// Stage.
+    pub stage: JobStage,
+    /// Tasks that have completed.
+    pub done: u32,
+    /// Tasks that run.
+    pub running: u32,
+}
+
+/// Answer to a worker whose machine another node commands.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct ReportTo<'a> {
+    /// That node.
+    #[serde(rename = "foreman")]
+    pub member: &'a str,
+}
+
+/// Why a request is not taken.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Refusal<'a> {
+    /// The reason.
+    pub error: &'a str,
+    /// The field at fault, where there is one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub field: Option<&'a str>,
+}
+
+impl<'a> Refusal<'a> {
+    /// A refusal that concerns no field.
+    pub fn new(error: &'a str) -> Refusal<'a> {
+        Refusal { error, field: None }
     }
 }
 
--- a/tests/three_controllers.rs
+++ b/tests/three_controllers.rs
@@ -77,37 +77,25 @@
         // Seed 72 is the one of forty that shows a task taken for gone on the
         // strength of a stop which its machine's seat has not heard.
         for seed in [60, 61, 62, 63, 72] {
-            let mut world = World::new(seed, &crowded(), troubles.clone());
-            world.run_until(600);
-            assert!(
-                world.broken.is_empty(),
-                "{name}, seed {seed}, at {:?}: {:?}",
-                world.now,
-                world.broken
-            );
-            let rest = world.unfinished();
-            assert!(rest.is_empty(), "{name}, seed {seed}: unfinished {rest:?}");
+            let world = until_done(name, seed, &crowded(), 600, &troubles);
             assert!(world.starts > 128, "{name}, seed {seed}: nothing was ever stopped");
         }
     }
 }
 
+/// Plays to the end: no rule may be broken, no job left undone.
+fn until_done(name: &str, seed: u64, plans: &[Plan], end_s: u64, troubles: &Troubles) -> World {
+    let mut world = World::new(seed, plans, troubles.clone());
+    world.run_until(end_s);
+    assert!(world.broken.is_empty(), "{name}, seed {seed}, at {:?}: {:?}", world.now, world.broken);
+    let rest = world.unfinished();
+    assert!(rest.is_empty(), "{name}, seed {seed}: unfinished {rest:?}, seats {:?}", world.seats());
+    world
+}
+
 fn play(name: &str, seeds: std::ops::Range<u64>, end_s: u64, troubles: &Troubles) {
     for seed in seeds {
-        let mut world = World::new(seed, &plans(), troubles.clone());
-        world.run_until(end_s);
-        assert!(
-            world.broken.is_empty(),
-            "{name}, seed {seed}, at {:?}: {:?}",
-            world.now,
-            world.broken
-        );
-        let rest = world.unfinished();
-        assert!(
-            rest.is_empty(),
-            "{name}, seed {seed}: unfinished {rest:?}, seats {:?}",
-            world.seats()
-        );
+        let world = until_done(name, seed, &plans(), end_s, troubles);
         assert!(world.starts >= 200, "{name}, seed {seed}: only {} starts", world.starts);
     }
 }
