--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -26,12 +26,24 @@
     }
 
     pub(super) fn later(&mut self, ticket: Ticket, status: u16, reason: &str) {
-        self.counts.refused += 1;
-        log::debug!("answered {status}: {reason}");
+        self.note_refusal(status, reason);
         let s = if status == 429 { self.options.retry_after_s } else { 1 };
         self.respond(ticket, status, Some(s), &Refusal::new(reason));
     }
 
+    /// Counts a refusal; the log tells of each cause once in a while, with
+    /// its number, since an outage refuses every request for the same reason.
+    fn note_refusal(&mut self, status: u16, reason: &str) {
+        self.counts.refused += 1;
+        *self.refusals.entry((status, reason.to_string())).or_insert(0) += 1;
+    }
+
+    pub(super) fn log_refusals(&mut self) {
+        for ((status, reason), count) in std::mem::take(&mut self.refusals) {
+            info!("{count} requests answered {status}: {reason}");
+        }
+    }
+
     pub(super) fn http(&mut self, ticket: Ticket, method: &str, target: &str, body: &[u8]) {
         let target = target.split('?').next().unwrap_or("");
         let allowed = if target == path::REPORT || target == path::JOBS {
@@ -103,6 +115,7 @@
         let mut spec = match wire::parse_job(body) {
             Ok(spec) => spec,
             Err(bad) => {
+                self.note_refusal(400, &format!("{} {}", bad.field, bad.reason));
                 let answer = Refusal { error: bad.reason, field: Some(bad.field) };
                 return match bad.id {
                     None => self.respond(ticket, 400, None, &answer),
@@ -124,6 +137,7 @@
             return self.later(ticket, 503, "machine types are not known yet");
         }
         if let Some(reason) = self.never_fits(&spec) {
+            self.note_refusal(422, reason);
             return self.read_or(ticket, &spec.id, 422, None, &Refusal::new(reason));
         }
         let Some(seat) = self.accepting_seat() else {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -249,6 +249,8 @@
 
 /// Jobs whose final stage is remembered in memory; older ones are read again.
 const KNOWN_JOBS: usize = 40_000;
+/// How often the log tells of refused requests.
+const REFUSALS_EVERY: Micros = Micros::secs(10);
 /// A peer that has been silent for longer does not count as alive.
 const PEER_SILENT: Micros = Micros::secs(3);
 
@@ -298,6 +300,9 @@
     peers: BTreeMap<usize, PeerInfo>,
     fleet: Fleet,
     counts: Counts,
+    /// Requests refused since the log last told of it, by status and reason.
+    refusals: BTreeMap<(u16, String), u64>,
+    refusals_at: Micros,
 
     seq: u64,
     dirty_jobs: BTreeSet<String>,
@@ -371,6 +376,8 @@
             peers,
             fleet: Fleet::default(),
             counts: Counts::default(),
+            refusals: BTreeMap::new(),
+            refusals_at: Micros::ZERO,
             seq: 0,
             dirty_jobs: BTreeSet::new(),
             dirty_wants: BTreeSet::new(),
@@ -456,6 +463,10 @@
             self.quota_at = self.now + Micros::millis(300);
             self.tend_quotas();
         }
+        if self.now >= self.refusals_at {
+            self.refusals_at = self.now + REFUSALS_EVERY;
+            self.log_refusals();
+        }
         self.tend_fleet();
     }
 
