Read all pages of a job's parts when a write's outcome is unknown

Cause: found by reading. A job of more than 100 parts whose write got no answer had the marks of its later parts read from the first page only, so that every further write of them failed without end. Guard: the recheck goes on through all pages. Ruled out: the acceptance (one part) and the loading of a seat (paged already).

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -190,7 +190,7 @@
     CancelWrite { ticket: Ticket, job: String, seat: usize, tasks: u32, tries: u32 },
     Store { job: String, term: u64, parts: Vec<(usize, u64)>, done: bool, drops: Vec<usize> },
     Recheck { job: String, term: u64 },
-    RecheckParts { job: String, term: u64 },
+    RecheckParts { job: String, term: u64, read: BTreeMap<usize, (u64, u64)> },
     QuotaList,
     QuotaRead { team: String },
     QuotaWrite { team: String, value: Value },
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -431,7 +431,7 @@
     pub(super) fn store_reply(&mut self, op: Op, reply: StateReply) {
         let (Op::Store { job: id, term, .. }
         | Op::Recheck { job: id, term }
-        | Op::RecheckParts { job: id, term }) = &op
+        | Op::RecheckParts { job: id, term, .. }) = &op
         else {
             return;
         };
@@ -480,13 +480,31 @@
                 if let Some(job) = self.jobs.get_mut(&id) {
                     job.mark = item.version;
                     job.busy = true;
-                    let op = Op::RecheckParts { job: id.clone(), term };
+                    let op = Op::RecheckParts { job: id.clone(), term, read: BTreeMap::new() };
                     let prefix = format!("w/{s}/{id}/");
                     self.state(op, StateCall::List { prefix, after: None });
                 }
             }
-            (Op::RecheckParts { .. }, StateReply::Page { items, more, .. }) => {
-                self.parts_read(&id, &items, more);
+            (Op::RecheckParts { term, mut read, .. }, StateReply::Page { items, more, .. }) => {
+                for item in &items {
+                    if let Some((_, n)) = job::parse_part_key(&item.key) {
+                        let v = item.value.get("v").and_then(serde_json::Value::as_u64);
+                        read.insert(n, (v.unwrap_or(0), item.version));
+                    }
+                }
+                match items.last().filter(|_| more) {
+                    // A mark missed on a further page would fail every write.
+                    Some(last) => {
+                        if let Some(job) = self.jobs.get_mut(&id) {
+                            job.busy = true;
+                        }
+                        let after = Some(last.key.clone());
+                        let op = Op::RecheckParts { job: id.clone(), term, read };
+                        let prefix = format!("w/{s}/{id}/");
+                        self.state(op, StateCall::List { prefix, after });
+                    }
+                    None => self.parts_read(&id, &read),
+                }
             }
             (Op::Recheck { .. } | Op::RecheckParts { .. }, _) => self.recheck_later(&id),
             _ => {}
@@ -501,17 +519,11 @@
         }
     }
 
-    fn parts_read(&mut self, id: &str, items: &[crate::wire::Item], more: bool) {
+    /// Takes in the stored versions and marks of all of a job's parts.
+    fn parts_read(&mut self, id: &str, stored: &BTreeMap<usize, (u64, u64)>) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let mut stored: BTreeMap<usize, (u64, u64)> = BTreeMap::new();
-        for item in items {
-            if let Some((_, n)) = job::parse_part_key(&item.key) {
-                let v = item.value.get("v").and_then(serde_json::Value::as_u64).unwrap_or(0);
-                stored.insert(n, (v, item.version));
-            }
-        }
         let mut applied: Vec<(usize, u64)> = Vec::new();
         let mut marks: Vec<(usize, u64)> = Vec::new();
         for (n, part) in job.parts.iter_mut().enumerate() {
@@ -522,8 +534,7 @@
                         applied.push((n, *v));
                     }
                 }
-                None if !more => part.mark = 0,
-                None => {}
+                None => part.mark = 0,
             }
         }
         for (n, mark) in marks {
--- a/tests/three_controllers.rs
+++ b/tests/three_controllers.rs
@@ -25,7 +25,8 @@
         urgent,
         together,
         apart,
-        Plan::new(40, 150, 0.5, 1.0),
+        // Enough parts for several of the store's small pages.
+        Plan::new(40, 600, 1.0, 0.3),
         late_cancel,
         Plan::new(70, 10, 1.0, 10.0),
     ]
