--- /dev/null
+++ b/tests/rehearsal/mod.rs
@@ -0,0 +1,801 @@
+//! A rehearsal in one process: real controllers against stand-ins of the state
+//! service, the cloud, the workers and the users, on a simulated clock.
+//!
+//! Messages are delayed, lost, held back and repeated, controllers crash; what
+//! the protocol forbids is checked at every step. One seed, one run.
+
+#![allow(dead_code)]
+
+mod cloud;
+mod store;
+mod worker;
+
+use cloud::Cloud;
+use millethold::cloud::CloudReply;
+use millethold::config::{Config, Options};
+use millethold::controller::{CallId, Controller, DirectReply, Effect, Event, Reply, Ticket};
+use millethold::peer::Frame;
+use millethold::state::{StateCall, StateReply};
+use millethold::time::Micros;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use store::Store;
+use worker::Worker;
+
+pub const LEASE_S: f64 = 12.0;
+pub const CANCEL_S: f64 = 30.0;
+const TICK: Micros = Micros::millis(50);
+
+/// What goes wrong, as chances or times.
+#[derive(Debug, Clone, Default)]
+pub struct Troubles {
+    /// Crash this many controllers, at these times.
+    pub crashes: Vec<(u64, usize)>,
+    /// Time until a crashed controller is back, in milliseconds.
+    pub back_ms: u64,
+    /// State service away: from, to, in seconds.
+    pub outages: Vec<(u64, u64)>,
+    /// A controller alone cannot reach the state service.
+    pub state_cuts: Vec<(usize, u64, u64)>,
+    /// Two controllers cannot reach each other; frames are held.
+    pub peer_cuts: Vec<(usize, usize, u64, u64)>,
+    /// A worker is cut off (`true`: hangs); what is sent to it arrives late.
+    pub worker_cuts: Vec<(usize, u64, u64, bool)>,
+    /// Chance that a transaction's answer is lost.
+    pub lost: f64,
+    /// Chance that such a transaction is applied, later by up to ten seconds.
+    pub late: f64,
+    /// Chance that a direct command is held for up to twenty seconds.
+    pub held: f64,
+    /// The cloud takes these machines at that time.
+    pub taken: Vec<(u64, usize)>,
+    /// Workers on which every task fails.
+    pub sick: BTreeSet<usize>,
+}
+
+/// A job that the users hand in.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    pub at_s: u64,
+    pub tasks: u32,
+    pub cpus: f64,
+    pub run_s: f64,
+    pub team: &'static str,
+    pub urgency: &'static str,
+    pub cancel_at_s: Option<u64>,
+    pub together: bool,
+    pub apart: bool,
+}
+
+impl Plan {
+    pub fn new(at_s: u64, tasks: u32, cpus: f64, run_s: f64) -> Plan {
+        Plan {
+            at_s,
+            tasks,
+            cpus,
+            run_s,
+            team: "red",
+            urgency: "standard",
+            cancel_at_s: None,
+            together: false,
+            apart: false,
+        }
+    }
+}
+
+/// A job as its user sees it.
+#[derive(Debug, Clone)]
+struct UserJob {
+    plan: Plan,
+    accepted: bool,
+    cancel_asked: bool,
+    cancelled_at: Option<Micros>,
+    done_told: bool,
+    /// Tasks that completed on some worker, which alone makes `done` true.
+    completed: BTreeSet<u32>,
+}
+
+struct Node {
+    controller: Controller,
+    incarnation: u64,
+}
+
+#[derive(Debug, Clone)]
+enum Origin {
+    Worker { worker: usize, sent: Micros, report: u64 },
+    Submit(String),
+    Poll(String),
+    Cancel(String),
+}
+
+enum Ev {
+    Tick { node: usize, incarnation: u64 },
+    Start { node: usize },
+    Crash { node: usize },
+    Node { node: usize, incarnation: u64, event: Event },
+    State { node: usize, incarnation: u64, id: CallId, call: StateCall, lose: bool },
+    LateTxn { call: StateCall },
+    Direct { node: usize, incarnation: u64, id: CallId, worker: usize, body: Vec<u8> },
+    Peer { from: usize, link: u64, to: usize, frame: Box<Frame> },
+    PeerUp { from: usize, to: usize, link: u64 },
+    Answer { ticket: u64, status: u16, body: Vec<u8> },
+    Worker { worker: usize },
+    GiveUp { worker: usize, report: u64 },
+    Submit(String),
+    Cancel(String),
+    Poll(String),
+    Taken { worker: usize },
+}
+
+pub struct World {
+    pub now: Micros,
+    rng: StdRng,
+    seq: u64,
+    queue: BTreeMap<(Micros, u64), Ev>,
+    config: Vec<Config>,
+    nodes: Vec<Option<Node>>,
+    store: Store,
+    cloud: Cloud,
+    pub workers: Vec<Worker>,
+    jobs: BTreeMap<String, UserJob>,
+    tickets: BTreeMap<u64, Origin>,
+    next_ticket: u64,
+    troubles: Troubles,
+    /// Latest frame of each link, so that frames stay in order.
+    links: BTreeMap<(usize, usize), (u64, Micros)>,
+    /// Watches that wait: node, incarnation, call, prefix, after, until.
+    watches: Vec<(usize, u64, CallId, String, u64, Micros)>,
+    pub broken: Vec<String>,
+    pub starts: u64,
+}
+
+fn settings(node: usize) -> Config {
+    let peers: String = (0..3)
+        .filter(|n| *n != node)
+        .map(|n| format!("[[peers]]\nmember = \"n{n}\"\naddress = \"10.0.0.{n}:81\"\n"))
+        .collect();
+    let text = format!(
+        r#"member = "n{node}"
+bind = "10.0.0.{node}:80"
+peer_bind = "10.0.0.{node}:81"
+{peers}
+[endpoints]
+cloud = "10.2.0.2:1"
+state = "10.2.0.1:1"
+[settings]
+zones = ["a", "b"]
+[[settings.teams]]
+name = "red"
+cpus = 8.0
+cpus_max = 14.0
+[[settings.teams]]
+name = "blue"
+[settings.workers]
+report_s = 2.0
+lease_s = {LEASE_S}
+cancel_s = {CANCEL_S}
+[settings.state]
+rps = 1000.0
+write_rps = 1000.0
+value_kb = 8.0
+txn_ops = 8
+[settings.cloud]
+rps = 50.0
+list_lag_s = 3.0
+[settings.machine_limits]
+cores = 1.0
+mem_mb = 100.0
+fd_limit = 100
+"#
+    );
+    Config::parse(&text).expect("settings of the rehearsal")
+}
+
+impl World {
+    pub fn new(seed: u64, plans: &[Plan], troubles: Troubles) -> World {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut world = World {
+            now: Micros::secs(1),
+            seq: 0,
+            queue: BTreeMap::new(),
+            config: (0..3).map(settings).collect(),
+            nodes: vec![None, None, None],
+            store: Store::default(),
+            cloud: Cloud::default(),
+            workers: Vec::new(),
+            jobs: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            next_ticket: 1,
+            links: BTreeMap::new(),
+            watches: Vec::new(),
+            broken: Vec::new(),
+            starts: 0,
+            troubles,
+            rng: StdRng::seed_from_u64(rng.random()),
+        };
+        for n in 0..3 {
+            world.at(Micros::millis(1_000 + 10 * n as u64), Ev::Start { node: n });
+        }
+        for i in 0..5 {
+            world.add_worker(if i % 2 == 0 { "a" } else { "b" }, i == 4);
+        }
+        for (s, count) in world.troubles.crashes.clone() {
+            let first = world.rng.random_range(0..3);
+            for k in 0..count {
+                world.at(Micros::secs(s), Ev::Crash { node: (first + k) % 3 });
+            }
+        }
+        for (s, worker) in world.troubles.taken.clone() {
+            world.at(Micros::secs(s), Ev::Taken { worker });
+        }
+        for (a, b, from, to) in world.troubles.peer_cuts.clone() {
+            // When the cut is over both ends make new connections.
+            let _ = from;
+            for (x, y) in [(a, b), (b, a)] {
+                let link = world.rng.random();
+                world.at(Micros::secs(to), Ev::PeerUp { from: x, to: y, link });
+            }
+        }
+        for (n, plan) in plans.iter().enumerate() {
+            let id = format!("j-{:06}", (n as u64 * 7919 + 13) % 1_000_000);
+            let cancel = plan.cancel_at_s;
+            world.at(Micros::secs(plan.at_s), Ev::Submit(id.clone()));
+            if let Some(s) = cancel {
+                world.at(Micros::secs(s), Ev::Cancel(id.clone()));
+            }
+            world.jobs.insert(
+                id,
+                UserJob {
+                    plan: plan.clone(),
+                    accepted: false,
+                    cancel_asked: false,
+                    cancelled_at: None,
+                    done_told: false,
+                    completed: BTreeSet::new(),
+                },
+            );
+        }
+        world
+    }
+
+    fn add_worker(&mut self, zone: &str, spot: bool) {
+        let n = self.workers.len();
+        let name = self.cloud.add(self.now, zone, spot);
+        let sick = self.troubles.sick.contains(&n);
+        self.workers.push(Worker::new(name, zone, spot, sick, self.now));
+        let wait = Micros::millis(self.rng.random_range(100..2_000));
+        self.at(self.now + wait, Ev::Worker { worker: n });
+    }
+
+    fn at(&mut self, at: Micros, ev: Ev) {
+        self.seq += 1;
+        self.queue.insert((at, self.seq), ev);
+    }
+
+    fn delay(&mut self) -> Micros {
+        Micros(self.rng.random_range(300..8_000))
+    }
+
+    fn chance(&mut self, p: f64) -> bool {
+        p > 0.0 && self.rng.random_range(0.0..1.0) < p
+    }
+
+    fn during(&self, from: u64, to: u64) -> bool {
+        self.now >= Micros::secs(from) && self.now < Micros::secs(to)
+    }
+
+    fn worker_cut(&self, worker: usize) -> Option<Micros> {
+        let cut = self
+            .troubles
+            .worker_cuts
+            .iter()
+            .find(|(w, from, to, _)| *w == worker && self.during(*from, *to))?;
+        Some(Micros::secs(cut.2))
+    }
+
+    fn hangs(&self, worker: usize) -> bool {
+        self.troubles
+            .worker_cuts
+            .iter()
+            .any(|(w, from, to, hang)| *w == worker && *hang && self.during(*from, *to))
+    }
+
+    fn peers_cut(&self, x: usize, y: usize) -> bool {
+        self.troubles.peer_cuts.iter().any(|(a, b, from, to)| {
+            ((*a, *b) == (x, y) || (*a, *b) == (y, x)) && self.during(*from, *to)
+        })
+    }
+
+    /// Runs until the given second or the first broken rule.
+    pub fn run_until(&mut self, s: u64) {
+        while let Some(((at, _), _)) = self.queue.first_key_value() {
+            if *at > Micros::secs(s) || !self.broken.is_empty() {
+                return;
+            }
+            let ((at, _), ev) = self.queue.pop_first().expect("just seen");
+            self.now = at;
+            self.step(ev);
+            self.check();
+        }
+    }
+
+    fn step(&mut self, ev: Ev) {
+        match ev {
+            Ev::Start { node } => self.start(node),
+            Ev::Crash { node } => {
+                self.nodes[node] = None;
+                self.watches.retain(|w| w.0 != node);
+                let wait = self.troubles.back_ms.max(100);
+                let back = self.now + Micros::millis(self.rng.random_range(wait / 2..wait * 2));
+                self.at(back, Ev::Start { node });
+            }
+            Ev::Tick { node, incarnation } => {
+                if self.alive(node, incarnation) {
+                    self.feed(node, Event::Tick);
+                    self.at(self.now + TICK, Ev::Tick { node, incarnation });
+                }
+            }
+            Ev::Node { node, incarnation, event } => {
+                if self.alive(node, incarnation) {
+                    self.feed(node, event);
+                }
+            }
+            Ev::State { node, incarnation, id, call, lose } => {
+                self.state_call(node, incarnation, id, call, lose)
+            }
+            Ev::LateTxn { call } => {
+                self.store.apply(self.now, &call);
+                self.wake_watches();
+            }
+            Ev::Direct { node, incarnation, id, worker, body } => {
+                self.direct(node, incarnation, id, worker, &body)
+            }
+            Ev::PeerUp { from, to, link } => {
+                if self.peers_cut(from, to) || self.nodes[to].is_none() {
+                    return;
+                }
+                self.links.insert((from, to), (link, self.now));
+                if self.nodes[from].is_some() {
+                    self.feed(from, Event::PeerUp(to));
+                }
+            }
+            Ev::Peer { from, link, to, frame } => {
+                let current = self.links.get(&(from, to)).is_some_and(|l| l.0 == link);
+                if current && self.nodes[to].is_some() {
+                    if self.peers_cut(from, to) {
+                        // Held, and delivered in order afterwards.
+                        let end = self
+                            .troubles
+                            .peer_cuts
+                            .iter()
+                            .filter(|c| self.during(c.2, c.3))
+                            .map(|c| c.3)
+                            .max()
+                            .unwrap_or(0);
+                        let at = Micros::secs(end) + Micros(1);
+                        self.at(at, Ev::Peer { from, link, to, frame });
+                    } else {
+                        self.feed(to, Event::Peer { from, frame });
+                    }
+                }
+            }
+            Ev::Answer { ticket, status, body } => self.answer(ticket, status, &body),
+            Ev::Worker { worker } => self.worker_turn(worker),
+            Ev::GiveUp { worker, report } => self.worker_gives_up(worker, report),
+            Ev::Submit(id) => self.submit(&id),
+            Ev::Poll(id) => self.user_asks(&id, "GET", "", Origin::Poll(id.clone())),
+            Ev::Cancel(id) => {
+                let job = self.jobs.get_mut(&id).expect("a planned job");
+                job.cancel_asked = true;
+                if job.accepted {
+                    self.user_asks(&id, "POST", "/abort", Origin::Cancel(id.clone()));
+                    self.at(self.now + Micros::secs(2), Ev::Cancel(id));
+                } else {
+                    self.at(self.now + Micros::secs(1), Ev::Cancel(id));
+                }
+            }
+            Ev::Taken { worker } => {
+                self.cloud.take(self.now, &self.workers[worker].name);
+                self.workers[worker].gone = true;
+            }
+        }
+    }
+
+    fn alive(&self, node: usize, incarnation: u64) -> bool {
+        self.nodes[node].as_ref().is_some_and(|n| n.incarnation == incarnation)
+    }
+
+    fn start(&mut self, node: usize) {
+        let seed = self.rng.random();
+        let incarnation = self.rng.random();
+        let controller =
+            Controller::new(&self.config[node], Options::default(), seed, Micros::secs(1_000_000));
+        self.nodes[node] = Some(Node { controller, incarnation });
+        self.at(self.now, Ev::Tick { node, incarnation });
+        for other in (0..3).filter(|o| *o != node) {
+            for (from, to) in [(node, other), (other, node)] {
+                let link = self.rng.random();
+                let at = self.now + Micros::millis(5);
+                self.at(at, Ev::PeerUp { from, to, link });
+            }
+        }
+    }
+
+    fn feed(&mut self, node: usize, event: Event) {
+        let now = self.now;
+        let mut effects = Vec::new();
+        let Some(n) = self.nodes[node].as_mut() else {
+            return;
+        };
+        n.controller.handle(now, event, &mut effects);
+        n.controller.flush(now, &mut effects);
+        let incarnation = n.incarnation;
+        for e in effects {
+            self.effect(node, incarnation, e);
+        }
+    }
+
+    fn effect(&mut self, node: usize, incarnation: u64, effect: Effect) {
+        let delay = self.delay();
+        let at = self.now + delay;
+        match effect {
+            Effect::Respond { ticket, status, body, .. } => {
+                self.at(at, Ev::Answer { ticket: ticket.0, status, body });
+            }
+            Effect::State { id, call } => {
+                let lose = self.chance(self.troubles.lost);
+                self.at(at, Ev::State { node, incarnation, id, call, lose });
+            }
+            Effect::Cloud { id, call } => {
+                let reply = self.cloud.call(self.now, &call);
+                if let CloudReply::Rented(names) = &reply {
+                    for name in names.clone() {
+                        let zone = self.cloud.zone(&name);
+                        let n = self.workers.len();
+                        let boot = self.now + Micros::secs(5);
+                        self.workers.push(Worker::new(name, &zone, false, false, boot));
+                        self.at(boot, Ev::Worker { worker: n });
+                    }
+                }
+                if let CloudReply::Returned = reply
+                    && let millethold::cloud::CloudCall::Return(names) = &call
+                {
+                    for w in self.workers.iter_mut().filter(|w| names.contains(&w.name)) {
+                        w.gone = true;
+                    }
+                }
+                let event = Event::Reply { id, reply: Reply::Cloud(reply) };
+                let at = at + Micros::millis(100);
+                self.at(at, Ev::Node { node, incarnation, event });
+            }
+            Effect::Direct { id, address, body } => {
+                let worker = usize::from(address.port());
+                let held = self.chance(self.troubles.held);
+                let cut = self.worker_cut(worker);
+                let event = Event::Reply { id, reply: Reply::Direct(DirectReply::Unknown) };
+                if held || cut.is_some() {
+                    let late = Micros::secs(self.rng.random_range(1..20));
+                    let at = cut.unwrap_or(self.now) + late;
+                    // The answer never comes; the command does.
+                    self.at(at, Ev::Direct { node, incarnation: 0, id, worker, body });
+                    let at = self.now + Micros::secs(3);
+                    self.at(at, Ev::Node { node, incarnation, event });
+                } else {
+                    self.at(at, Ev::Direct { node, incarnation, id, worker, body });
+                }
+            }
+            Effect::Peer { to, frame } => {
+                let Some((link, last)) = self.links.get(&(node, to)).copied() else {
+                    return;
+                };
+                let at = at.max(last + Micros(1));
+                self.links.insert((node, to), (link, at));
+                self.at(at, Ev::Peer { from: node, link, to, frame: Box::new(frame) });
+            }
+        }
+    }
+
+    fn state_call(
+        &mut self,
+        node: usize,
+        incarnation: u64,
+        id: CallId,
+        call: StateCall,
+        lose: bool,
+    ) {
+        let reply_at = self.now + self.delay();
+        let reply = |r| Event::Reply { id, reply: Reply::State(r) };
+        let cut =
+            self.troubles.state_cuts.iter().any(|(n, f, t)| *n == node && self.during(*f, *t));
+        let out = self.troubles.outages.iter().any(|(f, t)| self.during(*f, *t));
+        if out || cut {
+            let event = reply(StateReply::Refused);
+            let at = if call.waits() { reply_at + Micros::secs(1) } else { reply_at };
+            return self.at(at, Ev::Node { node, incarnation, event });
+        }
+        if let StateCall::Follow { prefix, after, block } = &call {
+            let until = self.now + *block;
+            self.watches.push((node, incarnation, id, prefix.clone(), *after, until));
+            return self.wake_watches();
+        }
+        if lose && matches!(call, StateCall::Txn(_)) {
+            if self.chance(self.troubles.late) {
+                let late = Micros::millis(self.rng.random_range(0..10_000));
+                self.at(self.now + late, Ev::LateTxn { call });
+            }
+            let at = self.now + Micros::millis(2_500);
+            return self.at(at, Ev::Node { node, incarnation, event: reply(StateReply::Unknown) });
+        }
+        let r = self.store.apply(self.now, &call);
+        self.at(reply_at, Ev::Node { node, incarnation, event: reply(r) });
+        self.wake_watches();
+    }
+
+    fn wake_watches(&mut self) {
+        let now = self.now;
+        let mut ready = Vec::new();
+        let store = &self.store;
+        self.watches.retain(|(node, inc, id, prefix, after, until)| {
+            let changes = store.changes(prefix, *after);
+            if changes.is_empty() && now < *until {
+                return true;
+            }
+            ready.push((*node, *inc, *id, StateReply::Changes(store.ledger, changes)));
+            false
+        });
+        for (node, incarnation, id, r) in ready {
+            let at = now + self.delay();
+            let event = Event::Reply { id, reply: Reply::State(r) };
+            self.at(at, Ev::Node { node, incarnation, event });
+        }
+    }
+
+    fn direct(&mut self, node: usize, incarnation: u64, id: CallId, worker: usize, body: &[u8]) {
+        if self.workers[worker].gone {
+            return;
+        }
+        if self.hangs(worker) {
+            let at = self.worker_cut(worker).unwrap_or(self.now) + Micros::millis(1);
+            let body = body.to_vec();
+            return self.at(at, Ev::Direct { node, incarnation: 0, id, worker, body });
+        }
+        let begun = self.workers[worker].direct(self.now, worker, body);
+        self.note_starts(worker, begun.1);
+        let event = Event::Reply {
+            id,
+            reply: Reply::Direct(DirectReply::Answered { status: begun.0, body: begun.2 }),
+        };
+        let at = self.now + self.delay();
+        self.at(at, Ev::Node { node, incarnation, event });
+    }
+
+    fn worker_turn(&mut self, worker: usize) {
+        if self.workers[worker].gone {
+            return;
+        }
+        let now = self.now;
+        if self.hangs(worker) {
+            // It does nothing, but its lease runs out all the same.
+            self.workers[worker].lapse(now);
+            return self.at(now + Micros::millis(50), Ev::Worker { worker });
+        }
+        let lengths: BTreeMap<String, f64> =
+            self.jobs.iter().map(|(id, j)| (id.clone(), j.plan.run_s)).collect();
+        let w = &mut self.workers[worker];
+        let finished = w.advance(now, &lengths);
+        for (job, index) in finished {
+            if let Some(j) = self.jobs.get_mut(&job) {
+                j.completed.insert(index);
+            }
+        }
+        let w = &mut self.workers[worker];
+        if let Some((sent, report, body, node)) = w.report(now, worker) {
+            let ticket = self.next_ticket;
+            self.next_ticket += 1;
+            self.tickets.insert(ticket, Origin::Worker { worker, sent, report });
+            self.at(now + Micros::secs(4), Ev::GiveUp { worker, report });
+            let event = Event::Http {
+                ticket: Ticket(ticket),
+                method: "POST".into(),
+                path: "/v1/report".into(),
+                body,
+            };
+            let incarnation = self.nodes[node].as_ref().map_or(0, |n| n.incarnation);
+            let at = match self.worker_cut(worker) {
+                Some(end) => end + Micros::millis(3),
+                None => now + self.delay(),
+            };
+            self.at(at, Ev::Node { node, incarnation, event });
+        }
+        self.at(now + Micros::millis(250), Ev::Worker { worker });
+    }
+
+    fn worker_gives_up(&mut self, worker: usize, report: u64) {
+        let w = &mut self.workers[worker];
+        if w.in_flight == Some(report) {
+            w.in_flight = None;
+            w.node = (w.node + 1) % 3;
+            w.next_report = self.now + Micros::secs(1);
+        }
+    }
+
+    fn answer(&mut self, ticket: u64, status: u16, body: &[u8]) {
+        match self.tickets.remove(&ticket) {
+            Some(Origin::Worker { worker, sent, report }) => {
+                if self.worker_cut(worker).is_some() || self.workers[worker].gone {
+                    return;
+                }
+                let begun = self.workers[worker].answered(self.now, sent, report, status, body);
+                self.note_starts(worker, begun);
+            }
+            Some(origin) => self.user_answer(origin, status, body),
+            None => {}
+        }
+    }
+
+    fn note_starts(&mut self, worker: usize, begun: Vec<String>) {
+        for task in begun {
+            self.starts += 1;
+            let (job, index) = task.split_once('/').expect("a task's name");
+            let Some(j) = self.jobs.get(job) else {
+                self.broken.push(format!("start of unknown {task}"));
+                continue;
+            };
+            if let Some(at) = j.cancelled_at
+                && self.now > at + Micros::from_secs_f64(CANCEL_S)
+            {
+                self.broken.push(format!("ran_cancelled: {task} begun"));
+            }
+            for (n, w) in self.workers.iter().enumerate() {
+                if n != worker && !w.gone && w.has(&task) {
+                    self.broken.push(format!(
+                        "ran_twice: {task} on {} and {}",
+                        w.name, self.workers[worker].name
+                    ));
+                }
+            }
+            let _ = index;
+            let zones: Vec<&str> = self
+                .workers
+                .iter()
+                .filter(|w| !w.gone)
+                .flat_map(|w| w.tasks_of(job).map(|_| w.zone.as_str()))
+                .collect();
+            let here = self.workers[worker].zone.as_str();
+            if j.plan.together && zones.iter().any(|z| *z != here) {
+                self.broken.push(format!("wrong_place: {task} not together"));
+            }
+            let most = j.plan.tasks.div_ceil(2) as usize;
+            if j.plan.apart && zones.iter().filter(|z| **z == here).count() > most {
+                self.broken.push(format!("wrong_place: {task} not apart"));
+            }
+        }
+    }
+
+    fn submit(&mut self, id: &str) {
+        let j = &self.jobs[id];
+        let p = &j.plan;
+        let body = json!({
+            "ref": id, "grade": "c", "crew": p.team, "cut": "batch", "urgency": p.urgency,
+            "planks": p.tasks, "cpus": p.cpus, "gpus": 0.0, "ramGb": 1.0, "pattern": "img",
+            "pullGb": 0.5, "benches": null, "yard": null, "together": p.together,
+            "apart": p.apart, "loaners": true, "expectedS": p.run_s, "notchS": 0.0,
+            "stackS": 0.0, "dueS": null,
+        });
+        let accepted = j.accepted;
+        let body = serde_json::to_vec(&body).expect("JSON");
+        self.ask("POST", "/work", body, Origin::Submit(id.to_string()));
+        // Repeated until it is accepted, and now and then afterwards.
+        let again = if accepted { Micros::secs(40) } else { Micros::secs(2) };
+        self.at(self.now + again, Ev::Submit(id.to_string()));
+    }
+
+    fn user_asks(&mut self, id: &str, method: &str, end: &str, origin: Origin) {
+        self.ask(method, &format!("/work/{id}{end}"), Vec::new(), origin);
+    }
+
+    fn ask(&mut self, method: &str, path: &str, body: Vec<u8>, origin: Origin) {
+        let node = self.rng.random_range(0..3);
+        let Some(n) = self.nodes[node].as_ref() else {
+            return;
+        };
+        let incarnation = n.incarnation;
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.tickets.insert(ticket, origin);
+        let event =
+            Event::Http { ticket: Ticket(ticket), method: method.into(), path: path.into(), body };
+        let at = self.now + self.delay();
+        self.at(at, Ev::Node { node, incarnation, event });
+    }
+
+    fn user_answer(&mut self, origin: Origin, status: u16, body: &[u8]) {
+        let (Origin::Submit(id) | Origin::Poll(id) | Origin::Cancel(id)) = &origin else {
+            return;
+        };
+        let id = id.clone();
+        let now = self.now;
+        let stage = serde_json::from_slice::<Value>(body)
+            .ok()
+            .and_then(|v| v.get("stage").and_then(Value::as_str).map(String::from));
+        let Some(j) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if j.accepted && matches!(status, 400 | 404 | 422) {
+            self.broken.push(format!("forgotten: {id} got {status}"));
+            return;
+        }
+        if !matches!(status, 200 | 201) {
+            return;
+        }
+        let first = matches!(origin, Origin::Submit(_)) && !j.accepted;
+        if let Origin::Submit(_) = origin {
+            j.accepted = true;
+        }
+        match stage.as_deref() {
+            Some("done") => {
+                if j.completed.len() < j.plan.tasks as usize {
+                    self.broken.push(format!("not_done: {id}"));
+                } else if j.cancelled_at.is_some() {
+                    self.broken.push(format!("went_back: {id} cancelled, then done"));
+                }
+                j.done_told = true;
+            }
+            Some("cancelled") => {
+                if !j.cancel_asked || j.done_told {
+                    self.broken.push(format!("went_back: {id} called cancelled"));
+                }
+                j.cancelled_at.get_or_insert(now);
+            }
+            Some(s) => {
+                if j.done_told || j.cancelled_at.is_some() {
+                    self.broken.push(format!("went_back: {id} called {s}"));
+                }
+            }
+            None => {}
+        }
+        if first || (matches!(origin, Origin::Poll(_))) {
+            self.at(now + Micros::secs(5), Ev::Poll(id));
+        }
+    }
+
+    /// What must hold at every moment.
+    fn check(&mut self) {
+        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
+        for w in self.workers.iter().filter(|w| !w.gone) {
+            for task in w.present() {
+                let job = task.split('/').next().unwrap_or("");
+                let Some(j) = self.jobs.get(job) else {
+                    continue;
+                };
+                *used.entry(j.plan.team).or_insert(0.0) += j.plan.cpus;
+                if let Some(at) = j.cancelled_at
+                    && self.now > at + Micros::from_secs_f64(CANCEL_S)
+                {
+                    self.broken.push(format!("ran_cancelled: {task} still there"));
+                }
+            }
+        }
+        if used.get("red").is_some_and(|u| *u > 14.0 + 1e-6) {
+            self.broken.push(format!("quota: {used:?}"));
+        }
+    }
+
+    /// Jobs that were accepted and whose users still wait.
+    pub fn unfinished(&self) -> Vec<String> {
+        self.jobs
+            .iter()
+            .filter(|(_, j)| !j.done_told && j.cancelled_at.is_none())
+            .map(|(id, j)| {
+                format!("{id} accepted {} done {}/{}", j.accepted, j.completed.len(), j.plan.tasks)
+            })
+            .collect()
+    }
+
+    /// Seats held by each controller that is up.
+    pub fn seats(&self) -> Vec<usize> {
+        self.nodes.iter().flatten().map(|n| n.controller.seats_held()).collect()
+    }
+}
--- /dev/null
+++ b/tests/rehearsal/store.rs
@@ -0,0 +1,144 @@
+//! A stand-in of the state service.
+
+use millethold::state::{StateCall, StateReply};
+use millethold::time::Micros;
+use millethold::wire::{Change, Item, Write};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+#[derive(Default)]
+pub struct Store {
+    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    leases: BTreeMap<u64, (Micros, Micros)>,
+    log: Vec<Change>,
+    next_lease: u64,
+    pub ledger: u64,
+}
+
+impl Store {
+    fn expire(&mut self, now: Micros) {
+        let over: Vec<u64> =
+            self.leases.iter().filter(|(_, (until, _))| now > *until).map(|(l, _)| *l).collect();
+        for lease in over {
+            self.end(lease);
+        }
+    }
+
+    fn end(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let keys: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, (_, _, l))| *l == Some(lease))
+            .map(|(k, _)| k.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.ledger += 1;
+        }
+        for key in keys {
+            self.keys.remove(&key);
+            let version = self.ledger;
+            self.log.push(Change { put: None, delete: Some(key), value: Value::Null, version });
+        }
+    }
+
+    pub fn apply(&mut self, now: Micros, call: &StateCall) -> StateReply {
+        self.expire(now);
+        match call {
+            StateCall::Get(key) => {
+                StateReply::Value(self.keys.get(key).map(|(value, version, _)| Item {
+                    key: key.clone(),
+                    value: value.clone(),
+                    version: *version,
+                }))
+            }
+            StateCall::List { prefix, after } => {
+                let mut items: Vec<Item> = self
+                    .keys
+                    .iter()
+                    .filter(|(k, _)| k.starts_with(prefix) && after.as_ref().is_none_or(|a| *k > a))
+                    .map(|(k, (value, version, _))| Item {
+                        key: k.clone(),
+                        value: value.clone(),
+                        version: *version,
+                    })
+                    .collect();
+                // Small pages, so that paging is exercised.
+                let more = items.len() > 5;
+                items.truncate(5);
+                StateReply::Page { items, more, revision: self.ledger }
+            }
+            StateCall::Txn(txn) => {
+                let failed: Vec<String> = txn
+                    .conditions
+                    .iter()
+                    .filter(|c| self.keys.get(&c.key).map_or(0, |k| k.1) != c.version)
+                    .map(|c| c.key.clone())
+                    .collect();
+                let dead = txn.writes.iter().any(|w| match w {
+                    Write::Put { lease: Some(l), .. } => !self.leases.contains_key(l),
+                    _ => false,
+                });
+                if dead {
+                    return StateReply::NoLease;
+                }
+                if !failed.is_empty() {
+                    return StateReply::Conflict(failed);
+                }
+                self.ledger += 1;
+                let version = self.ledger;
+                for w in &txn.writes {
+                    match w {
+                        Write::Put { key, value, lease } => {
+                            self.keys.insert(key.clone(), (value.clone(), version, *lease));
+                            self.log.push(Change {
+                                put: Some(key.clone()),
+                                delete: None,
+                                value: value.clone(),
+                                version,
+                            });
+                        }
+                        Write::Delete { key } => {
+                            self.keys.remove(key);
+                            self.log.push(Change {
+                                put: None,
+                                delete: Some(key.clone()),
+                                value: Value::Null,
+                                version,
+                            });
+                        }
+                    }
+                }
+                StateReply::Applied(version)
+            }
+            StateCall::Grant(ttl) => {
+                self.next_lease += 1;
+                self.leases.insert(self.next_lease, (now + *ttl, *ttl));
+                StateReply::Granted(self.next_lease)
+            }
+            StateCall::Extend(lease) => match self.leases.get_mut(lease) {
+                Some((until, ttl)) => {
+                    *until = now + *ttl;
+                    StateReply::Kept
+                }
+                None => StateReply::NoLease,
+            },
+            StateCall::End(lease) => {
+                self.end(*lease);
+                StateReply::Kept
+            }
+            StateCall::Follow { .. } => StateReply::Invalid,
+        }
+    }
+
+    pub fn changes(&self, prefix: &str, after: u64) -> Vec<Change> {
+        self.log
+            .iter()
+            .filter(|c| {
+                let key = c.put.as_ref().or(c.delete.as_ref());
+                c.version > after && key.is_some_and(|k| k.starts_with(prefix))
+            })
+            .cloned()
+            .collect()
+    }
+}
--- /dev/null
+++ b/tests/rehearsal/worker.rs
@@ -0,0 +1,281 @@
+//! A stand-in of a worker, by the protocol's text.
+
+use super::LEASE_S;
+use millethold::time::Micros;
+use millethold::wire::{
+    Cause, Command, DirectCommands, Report, ReportReply, ReportedTask, TaskState,
+};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+#[derive(Debug, Clone)]
+struct Task {
+    attempt: u64,
+    state: TaskState,
+    cause: Option<Cause>,
+    since: Micros,
+}
+
+pub struct Worker {
+    pub name: String,
+    pub zone: String,
+    spot: bool,
+    sick: bool,
+    pub gone: bool,
+    session: u64,
+    seq: u64,
+    token: u64,
+    tasks: BTreeMap<String, Task>,
+    /// When the last answered report was sent, or the session began.
+    lease_from: Micros,
+    pub node: usize,
+    pub next_report: Micros,
+    pub in_flight: Option<u64>,
+    changed: bool,
+    last_sent: Micros,
+    reports: u64,
+}
+
+/// CPUs of the stand-in's only machine type; memory never binds here.
+const SLOTS: usize = 4;
+
+impl Worker {
+    pub fn new(name: String, zone: &str, spot: bool, sick: bool, now: Micros) -> Worker {
+        let node = name.len() % 3;
+        Worker {
+            name,
+            zone: zone.into(),
+            spot,
+            sick,
+            gone: false,
+            session: 1,
+            seq: 0,
+            token: 0,
+            tasks: BTreeMap::new(),
+            lease_from: now,
+            node,
+            next_report: now,
+            in_flight: None,
+            changed: true,
+            last_sent: Micros::ZERO,
+            reports: 0,
+        }
+    }
+
+    /// Tasks that are on the machine.
+    pub fn present(&self) -> impl Iterator<Item = &String> {
+        self.tasks.iter().filter(|(_, t)| t.state != TaskState::Exited).map(|(k, _)| k)
+    }
+
+    pub fn has(&self, task: &str) -> bool {
+        self.tasks.get(task).is_some_and(|t| t.state != TaskState::Exited)
+    }
+
+    pub fn tasks_of<'a>(&'a self, job: &'a str) -> impl Iterator<Item = &'a String> + 'a {
+        self.present().filter(move |t| t.split('/').next() == Some(job))
+    }
+
+    /// Ends the session if its lease has run out.
+    pub fn lapse(&mut self, now: Micros) -> bool {
+        let over = now > self.lease_from + Micros::from_secs_f64(LEASE_S);
+        if over {
+            self.tasks.clear();
+            self.session += 1;
+            self.seq = 0;
+            self.lease_from = now;
+            self.in_flight = None;
+            self.changed = true;
+        }
+        over
+    }
+
+    /// Lets time pass; returns the tasks that completed.
+    pub fn advance(&mut self, now: Micros, lengths: &BTreeMap<String, f64>) -> Vec<(String, u32)> {
+        if self.lapse(now) {
+            return Vec::new();
+        }
+        let mut done = Vec::new();
+        for (name, t) in &mut self.tasks {
+            let (job, index) = name.split_once('/').expect("a task's name");
+            let length = lengths.get(job).copied().unwrap_or(1.0);
+            match t.state {
+                TaskState::Fetching if now > t.since + Micros::millis(500) => {
+                    t.state = TaskState::Running;
+                    t.since = now;
+                    self.changed = true;
+                }
+                TaskState::Running if self.sick && now > t.since + Micros::millis(200) => {
+                    t.state = TaskState::Exited;
+                    t.cause = Some(Cause::Error);
+                    self.changed = true;
+                }
+                TaskState::Running if now > t.since + Micros::from_secs_f64(length) => {
+                    t.state = TaskState::Exited;
+                    t.cause = Some(Cause::Done);
+                    self.changed = true;
+                    done.push((job.to_string(), index.parse().expect("a number")));
+                }
+                _ => {}
+            }
+        }
+        done
+    }
+
+    fn body(&mut self, number: usize) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.name.clone(),
+            address: format!("10.1.0.1:{number}"),
+            machine_type: "t4".into(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|(name, t)| ReportedTask {
+                    task: name.clone(),
+                    attempt: t.attempt,
+                    state: t.state,
+                    cause: t.cause,
+                })
+                .collect(),
+        }
+    }
+
+    /// The next report, if it is time.
+    pub fn report(&mut self, now: Micros, number: usize) -> Option<(Micros, u64, Vec<u8>, usize)> {
+        let due =
+            now >= self.next_report || (self.changed && now > self.last_sent + Micros::millis(500));
+        if self.in_flight.is_some() || !due {
+            return None;
+        }
+        let body = serde_json::to_vec(&self.body(number)).expect("JSON");
+        self.reports += 1;
+        self.in_flight = Some(self.reports);
+        self.changed = false;
+        self.last_sent = now;
+        self.next_report = now + Micros::secs(2);
+        Some((now, self.reports, body, self.node))
+    }
+
+    /// Takes in an answer; returns the tasks that it began.
+    pub fn answered(
+        &mut self,
+        now: Micros,
+        sent: Micros,
+        report: u64,
+        status: u16,
+        body: &[u8],
+    ) -> Vec<String> {
+        if self.in_flight != Some(report) {
+            return Vec::new();
+        }
+        self.in_flight = None;
+        match status {
+            200 => {
+                let reply: ReportReply = serde_json::from_slice(body).expect("a report's answer");
+                if reply.token < self.token {
+                    return Vec::new();
+                }
+                self.changed |= reply.token > self.token;
+                self.token = reply.token;
+                self.lease_from = self.lease_from.max(sent);
+                self.execute(now, reply.commands)
+            }
+            421 => {
+                let v: Value = serde_json::from_slice(body).unwrap_or_default();
+                let named = v.get("foreman").and_then(Value::as_str).unwrap_or("");
+                let node = named.strip_prefix('n').and_then(|n| n.parse().ok());
+                match node.filter(|n| *n != self.node && *n < 3) {
+                    Some(n) => {
+                        self.node = n;
+                        self.next_report = now;
+                    }
+                    None => {
+                        self.node = (self.node + 1) % 3;
+                        self.next_report = now + Micros::secs(1);
+                    }
+                }
+                Vec::new()
+            }
+            _ => {
+                self.node = (self.node + 1) % 3;
+                self.next_report = now + Micros::secs(1);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Executes direct commands: status, tasks begun, report.
+    pub fn direct(
+        &mut self,
+        now: Micros,
+        number: usize,
+        body: &[u8],
+    ) -> (u16, Vec<String>, Vec<u8>) {
+        let d: DirectCommands = serde_json::from_slice(body).expect("direct commands");
+        let ok = d.token >= self.token && d.session == self.session;
+        let begun = if ok {
+            self.changed |= d.token > self.token;
+            self.token = d.token;
+            self.execute(now, d.commands)
+        } else {
+            Vec::new()
+        };
+        let report = serde_json::to_vec(&self.body(number)).expect("JSON");
+        (if ok { 200 } else { 409 }, begun, report)
+    }
+
+    fn execute(&mut self, now: Micros, commands: Vec<Command>) -> Vec<String> {
+        let mut begun = Vec::new();
+        for c in commands {
+            match c {
+                Command::Start { task, attempt } => {
+                    if self.tasks.get(&task).is_some_and(|t| t.attempt == attempt) {
+                        continue;
+                    }
+                    // Another attempt of it is refused while one is here; an
+                    // ended one gives way, as a worker keeps one entry a task.
+                    let full = self.present().count() >= SLOTS;
+                    let busy = self.has(&task);
+                    if busy {
+                        continue;
+                    }
+                    let (state, cause) = if full {
+                        (TaskState::Exited, Some(Cause::NoRoom))
+                    } else {
+                        begun.push(task.clone());
+                        (TaskState::Fetching, None)
+                    };
+                    self.tasks.insert(task, Task { attempt, state, cause, since: now });
+                    self.changed = true;
+                }
+                Command::Stop { task, attempt, .. } => {
+                    if let Some(t) = self.tasks.get_mut(&task)
+                        && t.attempt == attempt
+                        && t.state != TaskState::Exited
+                    {
+                        t.state = TaskState::Exited;
+                        t.cause = Some(Cause::Stopped);
+                        self.changed = true;
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    if self
+                        .tasks
+                        .get(&task)
+                        .is_some_and(|t| t.attempt == attempt && t.state == TaskState::Exited)
+                    {
+                        self.tasks.remove(&task);
+                        self.changed = true;
+                    }
+                }
+            }
+        }
+        begun
+    }
+}
--- /dev/null
+++ b/tests/tables.rs
@@ -0,0 +1,688 @@
+//! Tables of cases for the pure parts.
+
+use millethold::config::{Config, Options, Team};
+use millethold::controller::fleet::{self, Fleet, Room};
+use millethold::controller::image::ImageIndex;
+use millethold::controller::job::{self, Job};
+use millethold::controller::machine::{Key, Post, Sent};
+use millethold::controller::place::{self, Candidate};
+use millethold::controller::quota::{self, Need, TeamQuota};
+use millethold::controller::seat::{self, Hold, Lease, Seat};
+use millethold::http::{self, HttpError};
+use millethold::peer::{self, Demand, Frame, Seen};
+use millethold::state::{Bucket, Budget, StateCall, StateReply};
+use millethold::time::Micros;
+use millethold::wire::{
+    self, Cause, Item, ListedMachine, MachineStage, MachineType, Report, ReportedTask, TaskState,
+    Txn, Write,
+};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+fn body() -> Value {
+    json!({
+        "ref": "j-000412", "grade": "train", "crew": "red", "cut": "batch", "urgency": "high",
+        "planks": 16, "cpus": 8.0, "gpus": 1.0, "ramGb": 64.0, "pattern": "img-07",
+        "pullGb": 6.2, "benches": ["g8"], "yard": null, "together": true, "apart": false,
+        "loaners": true, "expectedS": 240.0, "notchS": 30.0, "stackS": 4.0, "dueS": 900.0,
+    })
+}
+
+#[test]
+fn submissions() {
+    let good = wire::parse_job(body().to_string().as_bytes()).expect("a good submission");
+    assert_eq!(
+        (good.tasks, good.gpus, good.one_zone, good.deadline_s),
+        (16, 1.0, true, Some(900.0))
+    );
+    // Field, value (null: left out), field named in the answer.
+    let table = [
+        ("ref", json!("x-1"), "ref"),
+        ("ref", json!("j-"), "ref"),
+        ("ref", json!("j-12a"), "ref"),
+        ("ref", json!(7), "ref"),
+        ("ref", Value::Null, "ref"),
+        ("grade", Value::Null, "grade"),
+        ("crew", json!(""), "crew"),
+        ("cut", json!("heap"), "cut"),
+        ("cut", Value::Null, "cut"),
+        ("urgency", json!("soon"), "urgency"),
+        ("planks", json!(0), "planks"),
+        ("planks", json!(100_001), "planks"),
+        ("planks", json!(1.5), "planks"),
+        ("planks", json!("3"), "planks"),
+        ("cpus", json!(-1.0), "cpus"),
+        ("cpus", json!("4"), "cpus"),
+        ("cpus", json!(1e300), "cpus"),
+        ("ramGb", Value::Null, "ramGb"),
+        ("pattern", json!(3), "pattern"),
+        ("pullGb", json!(-0.1), "pullGb"),
+        ("benches", json!("g8"), "benches"),
+        ("benches", json!([1]), "benches"),
+        ("yard", json!(1), "yard"),
+        ("together", json!("yes"), "together"),
+        ("expectedS", Value::Null, "expectedS"),
+        ("dueS", json!(-5), "dueS"),
+    ];
+    for (field, value, named) in table {
+        let mut b = body();
+        b[field] = value.clone();
+        let bad = wire::parse_job(b.to_string().as_bytes()).expect_err(field);
+        assert_eq!(bad.field, named, "{field} = {value}");
+        // The id is kept, so that a known job's repeat can be told from it.
+        assert_eq!(bad.id.is_some(), named != "ref", "{field} = {value}");
+    }
+    for text in ["", "{", "[]", "3", "\"x\"", "nul", "\u{0}"] {
+        assert_eq!(wire::parse_job(text.as_bytes()).expect_err(text).field, "");
+    }
+    let mut b = body();
+    b["surprise"] = json!({"of": "a later version"});
+    assert!(wire::parse_job(b.to_string().as_bytes()).is_ok());
+}
+
+#[test]
+fn http_requests() {
+    let long = format!("POST /work HTTP/1.1\r\nContent-Length: {}\r\n\r\n", http::MAX_BODY + 1);
+    let endless = format!("GET /{} HTTP/1.1\r\n", "x".repeat(http::MAX_HEAD));
+    let table: [(&str, Result<Option<usize>, HttpError>); 11] = [
+        ("GET /healthz HTTP/1.1\r\n\r\n", Ok(Some(0))),
+        ("GET /healthz HTTP/1.1\r\nHost: a\r\n", Ok(None)),
+        ("POST /work HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", Ok(Some(2))),
+        ("POST /work HTTP/1.1\r\nContent-Length: 3\r\n\r\n{}", Ok(None)),
+        ("POST /work HTTP/1.1\r\nContent-Length: x\r\n\r\n", Err(HttpError::Malformed)),
+        ("POST /work HTTP/1.1\r\nContent-Length: -1\r\n\r\n", Err(HttpError::Malformed)),
+        (
+            "POST /work HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+            Err(HttpError::Malformed),
+        ),
+        (
+            "POST /work HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            Err(HttpError::Malformed),
+        ),
+        (&long, Err(HttpError::TooLarge)),
+        (&endless, Err(HttpError::Malformed)),
+        ("\u{1}\u{2}\r\n\r\n", Err(HttpError::Malformed)),
+    ];
+    for (text, want) in table {
+        let got = http::parse_request(text.as_bytes()).map(|r| r.map(|(r, _)| r.body.len()));
+        assert_eq!(got, want, "{:.60}", text);
+    }
+    let mut out = Vec::new();
+    http::write_answer(&mut out, 503, Some(2), "application/json", b"{}", true);
+    let text = String::from_utf8(out.clone()).expect("text");
+    assert!(text.contains("Retry-After: 2\r\n") && text.contains("Connection: close\r\n"));
+    let (answer, used) = http::parse_answer(&out).expect("HTTP").expect("whole");
+    assert_eq!((answer.status, answer.close, used), (503, true, out.len()));
+}
+
+#[test]
+fn frames() {
+    let frame = Frame { member: "n1".into(), run: 9, state_ok: true, ..Frame::default() };
+    let mut bytes = Vec::new();
+    peer::write_frame(&mut bytes, &frame);
+    assert_eq!(peer::read_frame(&bytes), Ok(Some((frame, bytes.len()))));
+    for cut in 0..bytes.len() {
+        assert_eq!(peer::read_frame(&bytes[..cut]), Ok(None), "cut at {cut}");
+    }
+    let large = (peer::MAX_FRAME as u32 + 1).to_be_bytes();
+    assert!(peer::read_frame(&large).is_err());
+    assert!(peer::read_frame(&[0, 0, 0, 2, 0xff, 0xff]).is_err());
+}
+
+#[test]
+fn placement() {
+    let o = Options::default();
+    for (gb, want) in [(0.0, 0), (0.99, 0), (1.0, 1), (3.9, 1), (4.0, 2), (12.0, 4), (500.0, 4)] {
+        assert_eq!(place::slack(&o, gb), want, "{gb} GB");
+    }
+    let c = |machine, booked, free_cpus, holds_image| Candidate {
+        machine,
+        booked,
+        free_cpus,
+        holds_image,
+    };
+    // Candidates, slack, packing, the machine chosen.
+    let table = [
+        (vec![], 4, false, None),
+        (vec![c("a", 2, 1.0, false), c("b", 1, 1.0, false)], 0, false, Some("b")),
+        (vec![c("a", 1, 1.0, true), c("b", 1, 9.0, false)], 0, false, Some("a")),
+        (vec![c("a", 2, 1.0, true), c("b", 1, 1.0, false)], 0, false, Some("b")),
+        (vec![c("a", 2, 1.0, true), c("b", 1, 1.0, false)], 1, false, Some("a")),
+        (vec![c("a", 5, 1.0, true), c("b", 1, 1.0, false)], 4, false, Some("a")),
+        (vec![c("a", 6, 1.0, true), c("b", 1, 1.0, false)], 4, false, Some("b")),
+        (vec![c("a", 3, 1.0, true), c("b", 2, 1.0, true)], 4, false, Some("b")),
+        (vec![c("a", 1, 2.0, false), c("b", 1, 4.0, false)], 0, false, Some("b")),
+        (vec![c("a", 1, 4.0, true), c("b", 3, 1.0, false)], 4, true, Some("b")),
+        (vec![c("a", 1, 1.0, false), c("b", 3, 1.0, true)], 0, true, Some("b")),
+    ];
+    for (candidates, slack, pack, want) in table {
+        assert_eq!(place::choose(&candidates, slack, pack), want, "{candidates:?} {slack} {pack}");
+    }
+}
+
+#[test]
+fn image_index() {
+    let age = Micros::secs(5_400);
+    let mut index = ImageIndex::new(3, age);
+    let t = Micros::secs(10);
+    index.note(t, "img", "m1", 1);
+    assert!(index.holds(t, "img", "m1", 1));
+    assert!(index.holds(t + age, "img", "m1", 1));
+    assert!(!index.holds(t + age + Micros(1), "img", "m1", 1), "too old");
+    assert!(!index.holds(t, "img", "m1", 2), "a machine that began anew");
+    assert!(!index.holds(t, "img", "m2", 1) && !index.holds(t, "other", "m1", 1));
+    // Noted again, an entry is young again, and the oldest goes first.
+    index.note(t + Micros::secs(1), "img", "m2", 1);
+    index.note(t + Micros::secs(2), "img", "m3", 1);
+    index.note(t + Micros::secs(3), "img", "m1", 1);
+    index.note(t + Micros::secs(4), "img", "m4", 1);
+    assert_eq!(index.len(), 3);
+    let now = t + Micros::secs(4);
+    let held: Vec<&str> =
+        ["m1", "m2", "m3", "m4"].into_iter().filter(|m| index.holds(now, "img", m, 1)).collect();
+    assert_eq!(held, ["m1", "m3", "m4"]);
+}
+
+#[test]
+fn seats_and_terms() {
+    let item = |member: &str, run, term, version| Item {
+        key: "hold/0".into(),
+        value: json!(Hold { member: member.into(), run, term, lease: 5 }),
+        version,
+    };
+    // What is stored, whether member `a` in run 7 may take it, and on which mark.
+    let table = [
+        (None, Some(0)),
+        (Some(item("b", 3, 4, 40)), None),
+        (Some(item("a", 7, 4, 40)), None),
+        (Some(item("a", 6, 4, 40)), Some(40)),
+    ];
+    for (stored, want) in table {
+        let mut s = Seat::default();
+        s.see_hold(Micros::secs(1), stored.as_ref());
+        assert_eq!(s.takeable("a", 7), want, "{stored:?}");
+    }
+    let mut s = Seat::default();
+    s.see_hold(Micros::secs(1), Some(&item("b", 3, 4, 40)));
+    s.see_hold(Micros::secs(9), None);
+    assert_eq!(s.free_since, Micros::secs(9));
+    let (txn, term) = s.take(0, 0, "a", 7, 12);
+    assert_eq!(term, 5, "a term only rises");
+    let versions: Vec<u64> = txn.conditions.iter().map(|c| c.version).collect();
+    assert_eq!(versions, [0, 40], "both keys are conditions");
+    assert!(matches!(&txn.writes[0], Write::Put { lease: Some(12), .. }));
+    assert!(matches!(&txn.writes[1], Write::Put { lease: None, .. }), "the term stays");
+
+    let ttl = Micros::secs(8);
+    let mut lease = Lease { id: Some(1), ..Lease::default() };
+    lease.extended(Micros::secs(100), ttl);
+    assert!(lease.valid(Micros::secs(107)));
+    assert!(!lease.valid(Micros::millis(107_950)), "drift and margin are taken off");
+    lease.extended(Micros::secs(90), ttl);
+    assert!(lease.valid(Micros::secs(107)), "an older answer does not shorten it");
+    lease.lost();
+    assert!(!lease.valid(Micros::secs(101)));
+
+    for seats in 1..6 {
+        let mut count = vec![0; seats];
+        for n in 0..600 {
+            count[seat::seat_of_machine(&format!("vm-{n:06}"), seats)] += 1;
+        }
+        let even = 600 / seats;
+        assert!(count.iter().all(|c| *c > even / 2 && *c < even * 2), "{count:?}");
+    }
+}
+
+fn key(attempt: u64) -> Key {
+    Key { job: "j-1".into(), index: 0, attempt }
+}
+
+fn report(session: u64, seq: u64, token: u64, tasks: &[(u64, TaskState, Option<Cause>)]) -> Report {
+    Report {
+        machine: "vm-1".into(),
+        address: "10.1.0.1:9000".into(),
+        machine_type: "t4".into(),
+        zone: "a".into(),
+        spot: false,
+        session,
+        seq,
+        token,
+        notice_s: None,
+        tasks: tasks
+            .iter()
+            .map(|(attempt, state, cause)| ReportedTask {
+                task: "j-1/0".into(),
+                attempt: *attempt,
+                state: *state,
+                cause: *cause,
+            })
+            .collect(),
+    }
+}
+
+#[test]
+fn reports_and_what_they_prove() {
+    let now = Micros::secs(50);
+    let mut post = Post::default();
+    // A report that has not seen the term proves nothing; the next one does.
+    assert!(post.take_report(now, &report(1, 1, 3, &[]), 4, true).is_some());
+    assert!(!post.known);
+    assert!(post.take_report(now, &report(1, 2, 4, &[]), 4, true).is_some());
+    assert!(post.known);
+    // Older and repeated messages are dropped.
+    assert!(post.take_report(now, &report(1, 2, 4, &[]), 4, true).is_none());
+    assert!(post.take_report(now, &report(1, 1, 4, &[]), 4, true).is_none());
+
+    // A start in an answer is open until the next report, which alone shows
+    // that the answer was executed or dropped; a direct answer does not.
+    post.sent.insert(key(1), Sent { answered: true, ..Sent::default() });
+    post.take_report(now, &report(1, 3, 4, &[]), 4, false);
+    assert!(post.sent[&key(1)].open());
+    post.take_report(now, &report(1, 4, 4, &[]), 4, true);
+    assert!(!post.sent[&key(1)].open());
+
+    // A direct start without an answer stays open, and once it is reported
+    // the attempt must not be cleared: the late command would start it anew.
+    post.sent.insert(key(2), Sent { direct: 1, ..Sent::default() });
+    post.direct_ended(&[key(2)], None);
+    post.take_report(now, &report(1, 5, 4, &[]), 4, true);
+    assert!(post.sent[&key(2)].open());
+    let ended = [(2, TaskState::Exited, Some(Cause::Done))];
+    post.take_report(now, &report(1, 6, 4, &ended), 4, true);
+    assert!(post.late.contains(&key(2)));
+    // An answered one closes it.
+    post.sent.insert(key(3), Sent { direct: 1, ..Sent::default() });
+    let running = [(3, TaskState::Running, None)];
+    post.take_report(now, &report(1, 7, 4, &running), 4, true);
+    post.direct_ended(&[key(3)], Some(true));
+    assert!(!post.late.contains(&key(3)));
+
+    // A new session ends everything before it and fences what is late.
+    post.take_report(now, &report(2, 1, 4, &[]), 4, true);
+    assert_eq!((post.over_through, post.tasks.len(), post.late.len()), (1, 0, 0));
+    assert!(post.take_report(now, &report(1, 99, 4, &[]), 4, true).is_none());
+
+    // Silence for a lease, and not less, ends the session; its reports, come
+    // late, are not answered any more.
+    let lease = Micros::secs(12);
+    assert!(!post.tend(now + lease, now, lease));
+    assert!(post.tend(now + lease + Micros(1), now, lease));
+    assert_eq!((post.over_through, post.known), (2, false));
+    assert!(post.take_report(now, &report(2, 2, 4, &[]), 4, true).is_none());
+    let mut never = Post::default();
+    assert!(!never.tend(now + lease, now, lease) && !never.vanished);
+    assert!(never.tend(now + lease + Micros(1), now, lease) && never.vanished);
+
+    let table = [
+        (TaskState::Fetching, None, Seen::Fetching),
+        (TaskState::Saving, None, Seen::Saving),
+        (TaskState::Exited, Some(Cause::Done), Seen::Done),
+        (TaskState::Exited, Some(Cause::Stopped), Seen::Stopped),
+        (TaskState::Exited, Some(Cause::NoRoom), Seen::Refused),
+        (TaskState::Exited, Some(Cause::Busy), Seen::Refused),
+        (TaskState::Exited, Some(Cause::Error), Seen::Failed),
+        (TaskState::Exited, Some(Cause::Unknown), Seen::Failed),
+        (TaskState::Exited, None, Seen::Failed),
+    ];
+    for (state, cause, want) in table {
+        let mut post = Post::default();
+        post.take_report(now, &report(1, 1, 4, &[(1, state, cause)]), 4, true);
+        assert_eq!(post.tasks[&key(1)], want, "{state:?} {cause:?}");
+    }
+}
+
+fn quota(limit: f64, grants: &[(usize, f64)]) -> TeamQuota {
+    let team = Team { name: "t".into(), cpus: 4.0, cpus_max: limit, gpus: 0.0, gpus_max: 0.0 };
+    let mut q = TeamQuota::new(&team);
+    let map: serde_json::Map<String, Value> =
+        grants.iter().map(|(s, g)| (s.to_string(), json!([g, 0.0]))).collect();
+    q.see(&Value::Object(map), 1);
+    q
+}
+
+#[test]
+fn grants() {
+    let need = |rank, cpus| Need { rank, amount: [cpus, 0.0] };
+    // Limit, grants, used, own waits, others' lacks, wanted grant of seat 0.
+    let table = [
+        (30.0, vec![], 0.0, vec![need(2, 50.0)], vec![], 30.0),
+        (30.0, vec![(1, 20.0)], 0.0, vec![need(2, 50.0)], vec![], 10.0),
+        (30.0, vec![(1, 10.0)], 0.0, vec![need(2, 50.0)], vec![need(2, 5.0)], 10.0),
+        (30.0, vec![(0, 12.0)], 4.0, vec![], vec![need(2, 5.0)], 4.0),
+        (30.0, vec![(0, 12.0)], 4.0, vec![], vec![], 12.0),
+        (30.0, vec![(0, 12.0)], 4.0, vec![need(3, 20.0)], vec![need(1, 5.0)], 4.0),
+        (30.0, vec![(0, 12.0)], 4.0, vec![need(1, 6.0)], vec![need(3, 9.0)], 10.0),
+        (30.0, vec![(0, 30.0)], 10.0, vec![need(2, 40.0)], vec![need(2, 9.0)], 15.0),
+        (30.0, vec![(0, 30.0)], 25.0, vec![need(2, 40.0)], vec![need(2, 9.0)], 25.0),
+    ];
+    for (limit, grants, used, waits, others, want) in table {
+        let q = quota(limit, &grants);
+        let got = q.wanted(0, [used, 0.0], &waits, &others)[0];
+        assert!((got - want).abs() < 1e-9, "{grants:?} {used} {waits:?} {others:?}: {got}");
+        let granted = q.with_grant(0, [got, 0.0]).expect("within the limit");
+        let sum: f64 =
+            granted.as_object().expect("a map").values().filter_map(|v| v[0].as_f64()).sum();
+        assert!(sum <= limit + 1e-6, "{sum} of {limit}");
+    }
+    let mut q = quota(30.0, &[(0, 12.0), (1, 18.0)]);
+    assert!(q.with_grant(0, [12.1, 0.0]).is_none(), "past the limit");
+    // A lowering under way counts at once, and until the key has changed.
+    q.lowered.insert(0, [5.0, 0.0]);
+    assert_eq!(q.grant(0)[0], 5.0);
+    q.see(&json!({"0": [12.0, 0.0], "1": [17.0, 0.0]}), 2);
+    assert_eq!(q.grant(0)[0], 12.0);
+    assert!(quota(0.0, &[]).grant(0)[0].is_infinite(), "0 means no limit");
+    let rest = quota::lacking([6.0, 0.0], &[need(3, 9.0), need(1, 4.0)]);
+    assert_eq!(rest, [need(3, 7.0)], "the more urgent is served first");
+}
+
+#[test]
+fn stored_jobs() {
+    let spec = wire::parse_job(body().to_string().as_bytes()).expect("a good submission");
+    let size = 5;
+    let mut j = Job::new(Rc::new(spec), 2, 9, Micros::secs(77), size);
+    assert_eq!((j.parts.len(), j.pending()), (4, 16));
+    let now = Micros::secs(3);
+    assert_eq!(j.put(now, 6, "vm-1", 3, "a"), Some(1));
+    assert_eq!(j.put(now, 6, "vm-2", 3, "a"), None, "placed already");
+    assert_eq!(j.put(now, 7, "vm-1", 3, "a"), Some(2));
+    assert!(j.end(7, false).is_some());
+    assert_eq!(j.put(now, 7, "vm-2", 1, "b"), Some(3), "attempts are never given out twice");
+    assert!(j.end(6, true).is_some());
+    assert!(j.end(6, true).is_none(), "it has ended already");
+    for i in [0, 1, 2, 4] {
+        j.put(now, i, "vm-3", 1, "a");
+        j.end(i, true);
+    }
+    let stored: BTreeMap<usize, (Value, u64)> =
+        [0, 1].into_iter().map(|n| (n, (j.encode_part(n), 20 + n as u64))).collect();
+    // Read with other settings: the stored size of the parts holds.
+    let back = Job::restore(now, 2, 9, 100, &stored).expect("stored parts");
+    assert_eq!((back.done(), back.booked(), back.pending()), (5, 1, 10));
+    assert_eq!(back.accepted, Micros::secs(77));
+    assert_eq!(back.parts[1].placed[&7].attempt, 3);
+    assert_eq!(back.parts[1].attempt, 3);
+    assert!(Job::restore(now, 2, 9, size, &BTreeMap::new()).is_none());
+
+    // Every state of a part fits in a value, with the longest names.
+    let per = job::part_size(8.0);
+    let mut b = body();
+    b["planks"] = json!(per);
+    let spec = wire::parse_job(b.to_string().as_bytes()).expect("a good submission");
+    let mut j = Job::new(Rc::new(spec), 0, 1, now, per);
+    for i in 0..per {
+        j.put(now, i, "vm-00000000000231", 1_000, "a-zone-with-name");
+    }
+    let bytes = j.encode_part(0).to_string().len();
+    assert!(bytes + 1_400 < 8 * 1024, "{bytes} bytes for {per} tasks");
+    let mut alternate = Job::new(Rc::clone(&j.spec), 0, 1, now, per);
+    for i in (0..per).step_by(2) {
+        alternate.put(now, i, "vm-1", 1, "a");
+        alternate.end(i, true);
+    }
+    assert!(alternate.encode_part(0).to_string().len() < 8 * 1024);
+}
+
+#[test]
+fn zones_of_a_job() {
+    // together, apart, tasks, zones taken, zone asked for, allowed.
+    let table = [
+        (false, false, 4, vec![("a", 2)], "b", true),
+        (true, false, 4, vec![("a", 2)], "a", true),
+        (true, false, 4, vec![("a", 2)], "b", false),
+        (true, false, 4, vec![], "b", true),
+        (false, true, 5, vec![("a", 2)], "a", true),
+        (false, true, 5, vec![("a", 3)], "a", false),
+        (false, true, 5, vec![("a", 3)], "b", true),
+        (false, true, 1, vec![], "a", true),
+    ];
+    for (together, apart, tasks, taken, zone, want) in table {
+        let mut b = body();
+        b["together"] = json!(together);
+        b["apart"] = json!(apart);
+        b["planks"] = json!(tasks);
+        let spec = wire::parse_job(b.to_string().as_bytes()).expect("a good submission");
+        let j = Job::new(Rc::new(spec), 0, 1, Micros::ZERO, 10);
+        let zones: BTreeMap<Rc<str>, u32> = taken.iter().map(|(z, n)| (Rc::from(*z), *n)).collect();
+        assert_eq!(j.zone_allows(&zones, zone), want, "{together} {apart} {taken:?} {zone}");
+    }
+}
+
+fn listed(name: &str, age_s: f64) -> ListedMachine {
+    ListedMachine {
+        name: name.into(),
+        address: String::new(),
+        machine_type: "t4".into(),
+        zone: "a".into(),
+        spot: false,
+        stage: MachineStage::Running,
+        age_s,
+    }
+}
+
+#[test]
+fn machines_that_leave_the_list() {
+    let lag = Micros::secs(10);
+    let s = Micros::secs;
+    // First listed at 100 s. Asked at, listed again, counted as gone.
+    let table = [
+        (s(110), false, false),
+        (s(120), false, false),
+        (s(121), false, true),
+        (s(121), true, false),
+        (s(500), false, true),
+    ];
+    for (asked, again, want) in table {
+        let mut fleet = Fleet::default();
+        fleet.take_list(s(100), s(99), &[listed("vm-1", 50.0)], lag);
+        let list = if again { vec![listed("vm-1", 70.0)] } else { Vec::new() };
+        let gone = fleet.take_list(asked, asked, &list, lag);
+        assert_eq!(!gone.is_empty(), want, "asked at {asked:?}, listed {again}");
+    }
+    // Rented and never listed: a lagging list says nothing of it.
+    let mut fleet = Fleet::default();
+    fleet.take_list(s(100), s(99), &[listed("vm-1", 5.0)], lag);
+    fleet.machines.get_mut("vm-1").expect("just listed").listed = None;
+    assert!(fleet.take_list(s(400), s(400), &[], lag).is_empty());
+}
+
+#[test]
+fn renting() {
+    let kind = |name: &str, cpus, price, spot_price| MachineType {
+        name: name.into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb: cpus * 4.0,
+        cache_gb: 10.0,
+        fetch_gb_per_s: 1.0,
+        price,
+        spot_price,
+        boot_s: 30.0,
+        zones: vec!["a".into(), "b".into()],
+    };
+    let types: BTreeMap<String, MachineType> =
+        [kind("small", 4.0, 1.0, 0.5), kind("big", 8.0, 2.2, 1.1)]
+            .into_iter()
+            .map(|t| (t.name.clone(), t))
+            .collect();
+    let wait = |tasks, cpus, spot, zone: Option<&str>| Demand {
+        tasks,
+        cpus,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        types: Vec::new(),
+        zone: zone.map(String::from),
+        spot,
+        rank: 2,
+    };
+    let room = |cpus: f64, spot| Room {
+        machine_type: "small".into(),
+        zone: "a".into(),
+        spot,
+        free: [cpus, 0.0, 16.0],
+    };
+    // What waits, what is free, tasks left without room.
+    let table = [
+        (vec![wait(4, 1.0, true, None)], vec![room(4.0, true)], 0),
+        (vec![wait(5, 1.0, true, None)], vec![room(4.0, true)], 1),
+        (vec![wait(4, 1.0, false, None)], vec![room(4.0, true)], 4),
+        (vec![wait(4, 1.0, true, Some("b"))], vec![room(4.0, true)], 4),
+        (vec![wait(2, 1.0, true, None), wait(1, 4.0, true, None)], vec![room(4.0, true)], 2),
+    ];
+    for (demand, mut rooms, want) in table {
+        let left: u32 = fleet::unmet(&demand, &mut rooms).iter().map(|d| d.tasks).sum();
+        assert_eq!(left, want, "{demand:?}");
+    }
+    let mut refused = BTreeMap::new();
+    let now = Micros::secs(9);
+    let ask = |d: Demand, refused: &BTreeMap<fleet::Offer, Micros>| {
+        fleet::next_request(&[d], &types, &BTreeMap::new(), refused, now)
+    };
+    let offer = |t: &str, z: &str, spot| (t.to_string(), z.to_string(), spot);
+    assert_eq!(ask(wait(9, 1.0, true, None), &refused), Some((offer("small", "a", true), 3)));
+    assert_eq!(ask(wait(1, 8.0, false, Some("b")), &refused), Some((offer("big", "b", false), 1)));
+    assert_eq!(ask(wait(1, 9.0, true, None), &refused), None);
+    refused.insert(offer("small", "a", true), now + Micros(1));
+    assert_eq!(ask(wait(1, 1.0, true, None), &refused), Some((offer("small", "b", true), 1)));
+    refused.insert(offer("small", "a", true), now);
+    assert_eq!(ask(wait(1, 1.0, true, None), &refused), Some((offer("small", "a", true), 1)));
+}
+
+#[test]
+fn state_answers() {
+    let txn = StateCall::Txn(Txn { conditions: vec![], writes: vec![] });
+    let get = StateCall::Get("a".into());
+    let follow = StateCall::Follow { prefix: "j/".into(), after: 3, block: Micros::secs(1) };
+    let table: [(&StateCall, u16, &str, StateReply); 13] = [
+        (&txn, 200, r#"{"ledger":432}"#, StateReply::Applied(432)),
+        (&txn, 409, r#"{"failed":["a/b"],"ledger":4}"#, StateReply::Conflict(vec!["a/b".into()])),
+        (&txn, 400, r#"{"error":"no such lease"}"#, StateReply::NoLease),
+        (&txn, 400, r#"{"error":"too large"}"#, StateReply::Invalid),
+        (&txn, 200, "<html>", StateReply::Unknown),
+        (&txn, 503, "", StateReply::Refused),
+        (&txn, 429, "", StateReply::Refused),
+        (&txn, 500, "", StateReply::Unknown),
+        (&get, 404, r#"{"ledger":1}"#, StateReply::Value(None)),
+        (&get, 200, "[", StateReply::Unknown),
+        (&follow, 410, "", StateReply::TooOld),
+        (&StateCall::Extend(3), 404, "", StateReply::NoLease),
+        (&StateCall::Grant(Micros::secs(1)), 200, r#"{"permit":7}"#, StateReply::Granted(7)),
+    ];
+    for (call, status, body, want) in table {
+        assert_eq!(call.decode(status, body.as_bytes()), want, "{call:?} {status} {body}");
+    }
+    let changes = br#"{"ledger":433,"events":[{"set":"j/9","value":{},"mark":433},{"drop":"j/1","mark":432}]}"#;
+    match follow.decode(200, changes) {
+        StateReply::Changes(433, list) => {
+            assert_eq!(
+                (list[0].put.as_deref(), list[1].delete.as_deref()),
+                (Some("j/9"), Some("j/1"))
+            );
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn rates() {
+    let now = Micros::secs(10);
+    let put = |n: usize| {
+        let write = |i| Write::Delete { key: format!("k{i}") };
+        StateCall::Txn(Txn { conditions: vec![], writes: (0..n).map(write).collect() })
+    };
+    // 30 changes a second over three nodes, a tenth left for others: nine each.
+    let mut budget = Budget::new(300.0, 30.0, 3);
+    assert!(budget.admit(now, &put(8)));
+    assert!(!budget.admit(now, &put(2)), "the burst is used up");
+    assert!(budget.admit(now, &StateCall::Extend(1)), "renewals are never held back");
+    assert!(budget.admit(now + Micros::millis(200), &put(2)));
+    // More than a whole burst goes out once the bucket is full, not never.
+    let mut bucket = Bucket::new(2.0, 2.0);
+    assert!(bucket.allows(now, 5.0));
+    bucket.take(5.0);
+    assert!(!bucket.allows(now + Micros::secs(1), 1.0));
+    assert!(bucket.allows(now + Micros::secs(2), 1.0));
+}
+
+const SETTINGS: &str = r#"
+member = "n0"
+bind = "10.0.0.1:80"
+peer_bind = "10.0.0.1:81"
+surprise = 1
+[[peers]]
+member = "n1"
+address = "10.0.0.2:81"
+[endpoints]
+cloud = "10.2.0.2:1"
+state = "10.2.0.1:1"
+[settings]
+[[settings.teams]]
+name = "red"
+[settings.workers]
+report_s = 2.0
+lease_s = 12.0
+cancel_s = 30.0
+[settings.state]
+rps = 100.0
+write_rps = 10.0
+value_kb = 8.0
+txn_ops = 8
+[settings.cloud]
+rps = 5.0
+list_lag_s = 3.0
+[settings.machine_limits]
+cores = 1.0
+mem_mb = 100.0
+fd_limit = 100
+"#;
+
+#[test]
+fn settings() {
+    let config = Config::parse(SETTINGS).expect("good settings");
+    assert_eq!(config.members(), ["n0", "n1"]);
+    // Replaced text, by what, and what the error must name.
+    let table = [
+        ("member = \"n0\"", "", "member"),
+        ("member = \"n1\"", "member = \"n0\"", "peers"),
+        ("bind = \"10.0.0.1:80\"", "bind = \"here\"", "line"),
+        ("lease_s = 12.0", "lease_s = 0.0", "lease_s"),
+        ("lease_s = 12.0", "lease_s = nan", "lease_s"),
+        ("txn_ops = 8", "txn_ops = 1", "txn_ops"),
+        ("write_rps = 10.0", "write_rps = -1.0", "write_rps"),
+        ("fd_limit = 100", "fd_limit = 3", "fd_limit"),
+        ("[settings.cloud]", "[settings.clouds]", "cloud"),
+        ("name = \"red\"", "name = \"red\"\ncpus = -1.0", "teams"),
+    ];
+    for (from, to, named) in table {
+        assert!(SETTINGS.contains(from), "{from}");
+        let error = Config::parse(&SETTINGS.replace(from, to)).expect_err(to).0;
+        assert!(error.contains(named) && !error.contains('\n'), "{from} -> {to}: {error}");
+    }
+}
+
+#[test]
+fn options() {
+    let o =
+        Options::parse("[placement]\nslack_gb = 2, 3, 5\nindex_entries = 7\n[fleet]\nidle_s = 9\n")
+            .expect("good options");
+    assert_eq!((o.slack_gb, o.index_entries, o.idle), ([2.0, 3.0, 5.0], 7, Micros::secs(9)));
+    let table = [
+        ("[placement]\nslack = 1\n", "[placement] slack = 1"),
+        ("[nowhere]\nx = 1\n", "[nowhere] x = 1"),
+        ("top = 1\n", "top = 1"),
+        ("[placement]\nslack_gb = 5, 3, 2\n", "slack_gb"),
+        ("[placement]\nslack_gb = 5, 3\n", "slack_gb"),
+        ("[seats]\nlease_ms = 5\n", "lease_ms = 5"),
+        ("[jobs]\nqueued_tasks = many\n", "queued_tasks = many"),
+        ("[fleet]\nspare_share = -1\n", "spare_share"),
+        ("[fleet]\nidle_s = NaN\n", "idle_s"),
+    ];
+    for (text, named) in table {
+        let error = Options::parse(text).expect_err(text).0;
+        assert!(error.contains(named), "{text}: {error}");
+    }
+    // The example in the repository shows the defaults.
+    let example = Options::parse(include_str!("../deploy/options.ini")).expect("the example");
+    assert_eq!(format!("{example:?}"), format!("{:?}", Options::default()));
+}
--- /dev/null
+++ b/tests/three_controllers.rs
@@ -0,0 +1,152 @@
+//! Three controllers under failures: no rule is broken and the work gets done.
+
+mod rehearsal;
+
+use rehearsal::{Plan, Troubles, World};
+
+fn plans() -> Vec<Plan> {
+    let mut blue = Plan::new(6, 9, 2.0, 6.0);
+    blue.team = "blue";
+    let mut urgent = Plan::new(20, 3, 2.0, 5.0);
+    urgent.urgency = "high";
+    let mut cancelled = Plan::new(8, 12, 1.0, 40.0);
+    cancelled.cancel_at_s = Some(25);
+    let mut together = Plan::new(30, 4, 1.0, 8.0);
+    together.together = true;
+    together.team = "blue";
+    let mut apart = Plan::new(35, 5, 1.0, 8.0);
+    apart.apart = true;
+    let mut late_cancel = Plan::new(50, 6, 2.0, 30.0);
+    late_cancel.cancel_at_s = Some(66);
+    vec![
+        Plan::new(3, 20, 1.0, 4.0),
+        blue,
+        cancelled,
+        urgent,
+        together,
+        apart,
+        Plan::new(40, 150, 0.5, 1.0),
+        late_cancel,
+        Plan::new(70, 10, 1.0, 10.0),
+    ]
+}
+
+fn play(name: &str, seeds: std::ops::Range<u64>, end_s: u64, troubles: &Troubles) {
+    for seed in seeds {
+        let mut world = World::new(seed, &plans(), troubles.clone());
+        world.run_until(end_s);
+        assert!(
+            world.broken.is_empty(),
+            "{name}, seed {seed}, at {:?}: {:?}",
+            world.now,
+            world.broken
+        );
+        let rest = world.unfinished();
+        assert!(
+            rest.is_empty(),
+            "{name}, seed {seed}: unfinished {rest:?}, seats {:?}",
+            world.seats()
+        );
+        assert!(world.starts >= 200, "{name}, seed {seed}: only {} starts", world.starts);
+    }
+}
+
+#[test]
+fn quiet() {
+    play("quiet", 0..4, 300, &Troubles::default());
+}
+
+#[test]
+fn crashes() {
+    let table = [
+        ("one, back late", vec![(12, 1), (45, 1)], 6_000),
+        ("one, back at once", vec![(12, 1), (22, 1), (45, 1)], 200),
+        ("two", vec![(15, 2), (50, 2)], 3_000),
+        ("all", vec![(14, 3), (48, 3), (75, 3)], 2_000),
+        ("all, back at once", vec![(14, 3), (28, 3)], 150),
+    ];
+    for (name, crashes, back_ms) in table {
+        let troubles = Troubles { crashes, back_ms, ..Troubles::default() };
+        play(name, 10..14, 400, &troubles);
+    }
+}
+
+#[test]
+fn state_service() {
+    let table = [
+        ("outage", Troubles { outages: vec![(12, 22), (50, 70)], ..Troubles::default() }),
+        ("one node refused", Troubles { state_cuts: vec![(0, 12, 52)], ..Troubles::default() }),
+        (
+            "lost answers, late transactions",
+            Troubles { lost: 0.05, late: 0.7, ..Troubles::default() },
+        ),
+        (
+            "lost answers and crashes",
+            Troubles {
+                lost: 0.05,
+                late: 0.9,
+                crashes: vec![(15, 2), (30, 3), (60, 1)],
+                back_ms: 300,
+                ..Troubles::default()
+            },
+        ),
+        (
+            "outage, then all crash",
+            Troubles {
+                outages: vec![(20, 32)],
+                crashes: vec![(25, 3)],
+                back_ms: 2_000,
+                ..Troubles::default()
+            },
+        ),
+    ];
+    for (name, troubles) in table {
+        play(name, 20..24, 400, &troubles);
+    }
+}
+
+#[test]
+fn networks_and_machines() {
+    let table = [
+        (
+            "peers cut",
+            Troubles { peer_cuts: vec![(0, 1, 10, 50), (1, 2, 30, 60)], ..Troubles::default() },
+        ),
+        (
+            "a worker cut, a worker hanging",
+            Troubles {
+                worker_cuts: vec![(0, 10, 30, false), (1, 15, 22, true), (2, 40, 80, true)],
+                ..Troubles::default()
+            },
+        ),
+        ("direct commands held", Troubles { held: 0.2, ..Troubles::default() }),
+        (
+            "held commands, cuts and crashes",
+            Troubles {
+                held: 0.2,
+                worker_cuts: vec![(0, 10, 30, false), (1, 15, 30, true)],
+                crashes: vec![(20, 1), (40, 2)],
+                back_ms: 1_000,
+                lost: 0.02,
+                late: 0.5,
+                ..Troubles::default()
+            },
+        ),
+        (
+            "machines taken, one sick",
+            Troubles { taken: vec![(16, 4), (24, 1)], sick: [3].into(), ..Troubles::default() },
+        ),
+        (
+            "a node cut from state while peers are cut",
+            Troubles {
+                state_cuts: vec![(1, 15, 45)],
+                peer_cuts: vec![(1, 0, 15, 45), (1, 2, 15, 45)],
+                held: 0.1,
+                ..Troubles::default()
+            },
+        ),
+    ];
+    for (name, troubles) in table {
+        play(name, 40..44, 500, &troubles);
+    }
+}
