--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -10,6 +10,10 @@
 use serde_json::json;
 use std::rc::Rc;
 
+/// Changes that an acceptance makes.
+const ACCEPT_PUTS: usize = 2;
+/// Seconds for which users wait, with some left for the way.
+const LISTENS_S: f64 = 3.0;
 /// Times that a cancellation is tried anew when something came in between.
 const CANCEL_TRIES: u32 = 4;
 
@@ -144,7 +148,7 @@
             return self.later(ticket, 503, "no seat is held");
         };
         let queued: usize = self.jobs.values().map(|j| j.spec.tasks as usize).sum();
-        if self.submissions >= self.options.waiting_submissions {
+        if self.submissions >= self.most_submissions() {
             return self.later(ticket, 429, "too many submissions wait");
         }
         if queued + spec.tasks as usize > self.options.queued_tasks && queued > 0 {
@@ -187,6 +191,14 @@
         );
     }
 
+    /// Submissions that may wait for the store: no more than it can take while
+    /// their users still listen.
+    fn most_submissions(&self) -> usize {
+        let share = self.puts.burst();
+        let in_time = share * LISTENS_S / ACCEPT_PUTS as f64;
+        self.options.waiting_submissions.min((in_time as usize).max(2))
+    }
+
     /// Why a job can never run, if so.
     fn never_fits(&self, spec: &JobSpec) -> Option<&'static str> {
         let Some(team) = self.quotas.get(&spec.team) else {
--- a/src/controller/fleet.rs
+++ b/src/controller/fleet.rs
@@ -8,6 +8,7 @@
 use crate::time::Micros;
 use crate::wire::{ListedMachine, MachineStage, MachineType, RentRequest};
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 /// The seat whose holder rents.
 pub const RENTING_SEAT: usize = 0;
@@ -69,9 +70,9 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Room {
     /// Type.
-    pub machine_type: String,
+    pub machine_type: Rc<str>,
     /// Zone.
-    pub zone: String,
+    pub zone: Rc<str>,
     /// Spot.
     pub spot: bool,
     /// Free amounts.
@@ -171,9 +172,9 @@
             }
         }
         if let Some((_, _, offer, count)) = best {
-            // In parts, so that zones take turns and a wave of returns does
-            // not hit everything at once.
-            return Some((offer, count.clamp(1, 4)));
+            // In parts, so that zones take turns; the cloud takes no more than
+            // 50 at once.
+            return Some((offer, count.div_ceil(3).clamp(count.min(8), 50)));
         }
     }
     None
--- a/src/controller/holder.rs
+++ b/src/controller/holder.rs
@@ -131,6 +131,7 @@
         let mut touched: BTreeSet<String> = BTreeSet::new();
         if message.complete {
             heard.complete = message.seq;
+            heard.usage.clear();
             touched.extend(std::mem::take(&mut heard.machines).into_keys());
         }
         let now = self.now;
@@ -141,7 +142,19 @@
                     self.images.note(now, &t.image, &m.machine, t.session);
                 }
             }
-            self.wants[s].machines.insert(m.machine, (message.seq, m.tasks));
+            let heard = &mut self.wants[s];
+            for t in &m.tasks {
+                let u = heard.usage.entry(t.team.clone()).or_default();
+                u[0] += t.cpus;
+                u[1] += t.gpus;
+            }
+            if let Some((_, old)) = heard.machines.insert(m.machine, (message.seq, m.tasks)) {
+                for t in &old {
+                    let u = heard.usage.entry(t.team.clone()).or_default();
+                    u[0] -= t.cpus;
+                    u[1] -= t.gpus;
+                }
+            }
         }
         for machine in touched {
             self.wants_changed(&machine);
@@ -150,6 +163,7 @@
 
     fn wants_changed(&mut self, machine: &str) {
         self.place_wanted = true;
+        self.touch_slot(machine);
         if self.my_term(self.seat_of_machine(machine)).is_none() || self.gone.contains(machine) {
             return;
         }
@@ -309,8 +323,7 @@
             return;
         };
         // A worker that is silent is not waited for with further connections.
-        let silent = Micros::from_secs_f64(self.settings.workers.report_s * 2.0 + 1.0);
-        let quiet = post.heard.is_none_or(|at| self.now.since(at) > silent);
+        let quiet = post.heard.is_none_or(|at| self.now.since(at) > self.silent());
         if !post.known || post.direct_busy || quiet || self.now < post.direct_after {
             return;
         }
@@ -382,6 +395,7 @@
         let taken: Vec<Option<Micros>> =
             self.seats.iter().map(|s| s.mine.as_ref().map(|m| m.taken)).collect();
         let mut changed = Vec::new();
+        let silent = self.silent();
         let seats = self.seats.len();
         for (name, post) in &mut self.posts {
             let Some(Some(taken)) = taken.get(super::seat::seat_of_machine(name, seats)) else {
@@ -391,11 +405,15 @@
             if post.tend(now, base, lease) {
                 info!("machine {name} has been silent for a whole lease");
                 changed.push(name.clone());
-            } else if post.heard.is_some() && !post.tasks.is_empty() | !post.sent.is_empty() {
-                changed.push(name.clone());
+            } else {
+                // Health depends on time, and starts may wait for their next try.
+                let fresh = post.heard.is_some_and(|at| now.since(at) < silent);
+                let unsent = post.sent.values().any(|s| !s.open()) && now >= post.direct_after;
+                if fresh != post.fresh || unsent {
+                    changed.push(name.clone());
+                }
             }
         }
-        // Health depends on time; views that stay the same are not sent.
         self.dirty_posts.extend(changed);
     }
 
@@ -433,12 +451,18 @@
         }
     }
 
-    fn view_of(&self, machine: &str, term: u64) -> MachineView {
-        let Some(post) = self.posts.get(machine) else {
+    /// A machine silent for longer is not counted on.
+    fn silent(&self) -> Micros {
+        Micros::from_secs_f64(self.settings.workers.report_s * 2.0 + 1.0)
+    }
+
+    fn view_of(&mut self, machine: &str, term: u64) -> MachineView {
+        let silent = self.silent();
+        let Some(post) = self.posts.get_mut(machine) else {
             return MachineView::default();
         };
-        let silent = Micros::from_secs_f64(self.settings.workers.report_s * 2.0 + 1.0);
         let fresh = post.heard.is_some_and(|at| self.now.since(at) < silent);
+        post.fresh = fresh;
         let faulty = post.failures >= MACHINE_FAULTY && post.failed_jobs.len() > 1;
         let heard = self
             .wants
--- a/src/controller/image.rs
+++ b/src/controller/image.rs
@@ -68,6 +68,16 @@
             .is_some_and(|e| e.session == session && now.since(e.at) <= self.age)
     }
 
+    /// Machines that hold an image, with the session in which they got it.
+    pub fn holders(&self, now: Micros, image: &str) -> impl Iterator<Item = (&str, u64)> {
+        self.images
+            .get(image)
+            .into_iter()
+            .flatten()
+            .filter(move |(_, e)| now.since(e.at) <= self.age)
+            .map(|(machine, e)| (machine.as_str(), e.session))
+    }
+
     /// Number of entries.
     pub fn len(&self) -> usize {
         self.order.len()
--- a/src/controller/job.rs
+++ b/src/controller/job.rs
@@ -60,17 +60,52 @@
 }
 
 /// Bytes that a part's value takes beside its placements and description.
-const PART_OVERHEAD: usize = 1_200;
-/// Bytes that a placement takes at most, with the longest names accepted.
-const PLACEMENT_BYTES: usize = 68;
+const PART_OVERHEAD: usize = 400;
+/// Bytes that a placement takes with names of the usual length.
+const PLACEMENT_BYTES: usize = 27;
 /// Longest description that fits in part 0.
 pub const MAX_SPEC_BYTES: usize = 1_400;
+/// Most tasks in a part.
+const MAX_PART: u32 = 512;
 
-/// Tasks in a part, so that every state of it fits in a value.
-pub fn part_size(value_kb: f64) -> u32 {
+/// Bytes that a part's placements may take.
+fn placements_room(value_kb: f64) -> usize {
     let bytes = (value_kb * 1024.0) as usize;
-    let room = bytes.saturating_sub(PART_OVERHEAD + MAX_SPEC_BYTES);
-    ((room / PLACEMENT_BYTES) as u32).clamp(1, 512)
+    // A quarter of a byte in hexadecimal digits for each task says which are done.
+    bytes.saturating_sub(PART_OVERHEAD + MAX_SPEC_BYTES + MAX_PART as usize / 4)
+}
+
+/// Tasks in a part: as many as can be on machines at once.
+fn part_size(value_kb: f64) -> u32 {
+    ((placements_room(value_kb) / PLACEMENT_BYTES) as u32).clamp(1, MAX_PART)
+}
+
+fn digits(n: u64) -> usize {
+    n.checked_ilog10().map_or(1, |d| d as usize + 1)
+}
+
+/// A name as a beginning and a number that ends it: machines' names differ
+/// mostly in the number. Only a number that reads back the same is split off.
+fn split_name(name: &str) -> (&str, usize, u64) {
+    let head = name.trim_end_matches(|c: char| c.is_ascii_digit());
+    let width = name.len() - head.len();
+    match name[head.len()..].parse() {
+        Ok(number) if width <= 15 => (head, width, number),
+        _ => (name, 0, 0),
+    }
+}
+
+fn join_name(head: &str, width: usize, number: u64) -> String {
+    if width == 0 { head.to_string() } else { format!("{head}{number:0width$}") }
+}
+
+/// Most bytes that a placement takes in its part's value.
+fn stored_bytes(machine: &str, session: u64, attempt: u64, zone: &str) -> usize {
+    let (head, width, _) = split_name(machine);
+    // Numbers with their commas; a beginning or a zone that no other placement
+    // has needs a line of its own, which for short ones the overhead holds.
+    let names = head.len().saturating_sub(8) + zone.len().saturating_sub(12);
+    width.max(1) + digits(session) + digits(attempt) + 16 + names
 }
 
 /// Where a task was put.
@@ -99,6 +134,8 @@
     pub seen: Option<Seen>,
     /// Since when it runs.
     pub running_since: Option<Micros>,
+    /// Bytes that it takes in the part's value at most.
+    bytes: usize,
 }
 
 /// A part of a job's tasks.
@@ -120,6 +157,17 @@
     pub stored: u64,
     /// Revision of its key, 0 while it has none.
     pub mark: u64,
+    /// Version of the newest placement.
+    pub put: u64,
+    /// Bytes that its placements take in its value at most.
+    bytes: usize,
+}
+
+impl Part {
+    /// True if it holds a placement that is not stored yet: a start waits for it.
+    pub fn fresh(&self) -> bool {
+        self.put > self.stored
+    }
 }
 
 #[derive(Serialize, Deserialize)]
@@ -128,13 +176,24 @@
     v: u64,
     /// Highest attempt.
     a: u64,
-    /// Ranges of completed tasks.
+    /// Completed tasks of the part as a bit each, in hexadecimal digits; the
+    /// lowest first.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    d: String,
+    /// Beginnings of machines' names, and how many digits follow.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    h: Vec<(String, usize)>,
+    /// Zones.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    d: Vec<(u32, u32)>,
-    /// Placements: task, machine, session, attempt, zone, time of day
-    /// in seconds.
+    y: Vec<String>,
+    /// Earliest time of day of the placements, in seconds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    b: u64,
+    /// Placements, [`COLUMNS`] numbers each: task since the one before,
+    /// beginning and number of the machine's name, session, attempt, zone,
+    /// seconds since `b`.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    p: Vec<(u32, String, u64, u64, String, u64)>,
+    p: Vec<u64>,
     /// Description, in part 0.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     s: Option<JobSpec>,
@@ -146,6 +205,64 @@
     z: Option<u32>,
 }
 
+/// Numbers that make up a stored placement.
+const COLUMNS: usize = 7;
+
+fn is_zero(n: &u64) -> bool {
+    *n == 0
+}
+
+/// A placement as stored: task, machine, session, attempt, zone, second.
+pub type StoredPlacement = (u32, String, u64, u64, String, u64);
+
+/// The placements in a part's value; `None` if it cannot be read.
+pub fn stored_placements(value: &Value) -> Option<Vec<StoredPlacement>> {
+    StoredPart::deserialize(value).ok()?.placements()
+}
+
+impl StoredPart {
+    fn placements(&self) -> Option<Vec<StoredPlacement>> {
+        let mut task = 0;
+        let mut list = Vec::with_capacity(self.p.len() / COLUMNS);
+        for row in self.p.chunks(COLUMNS) {
+            let [step, head, number, session, attempt, zone, at] = *row else {
+                return None;
+            };
+            task += step;
+            let (head, width) = self.h.get(usize::try_from(head).ok()?)?;
+            let machine = join_name(head, (*width).min(20), number);
+            let zone = self.y.get(usize::try_from(zone).ok()?)?.clone();
+            list.push((u32::try_from(task).ok()?, machine, session, attempt, zone, self.b + at));
+        }
+        Some(list)
+    }
+}
+
+/// The place of an entry in a short table, which it joins if it is new.
+fn place_in<T: PartialEq>(table: &mut Vec<T>, entry: T) -> u64 {
+    let at = table.iter().position(|e| *e == entry).unwrap_or_else(|| {
+        table.push(entry);
+        table.len() - 1
+    });
+    at as u64
+}
+
+/// How tasks are divided into parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartSize {
+    /// Tasks in a part.
+    pub tasks: u32,
+    /// Bytes that a part's placements may take in its value.
+    pub bytes: usize,
+}
+
+impl PartSize {
+    /// The division for values of a size.
+    pub fn new(value_kb: f64) -> PartSize {
+        PartSize { tasks: part_size(value_kb), bytes: placements_room(value_kb) }
+    }
+}
+
 /// A job that one of this process's seats runs.
 #[derive(Debug, Clone)]
 pub struct Job {
@@ -161,6 +278,10 @@
     pub parts: Vec<Part>,
     /// Tasks in a part.
     pub part_size: u32,
+    /// Bytes that a part's placements may take.
+    room: usize,
+    /// Since when it has had changes that nothing urgent waits for.
+    pub lazy_since: Option<Micros>,
     /// Its user cancelled it.
     pub cancelled: bool,
     /// It is over in the state service; its parts remain to be dropped.
@@ -181,7 +302,8 @@
 
 impl Job {
     /// A job with nothing placed.
-    pub fn new(spec: Rc<JobSpec>, seat: usize, mark: u64, accepted: Micros, part_size: u32) -> Job {
+    pub fn new(spec: Rc<JobSpec>, seat: usize, mark: u64, accepted: Micros, size: PartSize) -> Job {
+        let PartSize { tasks: part_size, bytes: room } = size;
         let tasks = spec.tasks;
         let count = tasks.div_ceil(part_size);
         let parts = (0..count)
@@ -197,6 +319,8 @@
             accepted,
             parts,
             part_size,
+            room,
+            lazy_since: None,
             cancelled: false,
             over: false,
             busy: false,
@@ -211,26 +335,40 @@
     /// The value of a part as it stands.
     pub fn encode_part(&self, n: usize) -> Value {
         let part = &self.parts[n];
-        let mut d: Vec<(u32, u32)> = Vec::new();
+        let first = n as u32 * self.part_size;
+        let mut d: Vec<u8> = Vec::new();
         for i in &part.done {
-            match d.last_mut() {
-                Some((_, to)) if *to + 1 == *i => *to = *i,
-                _ => d.push((*i, *i)),
+            let bit = (i - first) as usize;
+            if d.len() <= bit / 4 {
+                d.resize(bit / 4 + 1, 0);
             }
+            d[bit / 4] |= 1 << (bit % 4);
+        }
+        let digit = |d: &u8| char::from_digit(u32::from(*d), 16).unwrap_or('0');
+        let (mut heads, mut zones, mut rows) = (Vec::new(), Vec::new(), Vec::new());
+        let base = part.placed.values().map(|p| p.at.0 / 1_000_000).min().unwrap_or(0);
+        let mut last = 0;
+        for (i, p) in &part.placed {
+            let (head, width, number) = split_name(&p.machine);
+            rows.extend([
+                u64::from(i - last),
+                place_in(&mut heads, (head.to_string(), width)),
+                number,
+                p.session,
+                p.attempt,
+                place_in(&mut zones, p.zone.to_string()),
+                p.at.0 / 1_000_000 - base,
+            ]);
+            last = *i;
         }
-        let p = part
-            .placed
-            .iter()
-            .map(|(i, p)| {
-                let (machine, zone) = (p.machine.to_string(), p.zone.to_string());
-                (*i, machine, p.session, p.attempt, zone, p.at.0 / 1_000_000)
-            })
-            .collect();
         let stored = StoredPart {
             v: part.version,
             a: part.attempt,
-            d,
-            p,
+            d: d.iter().map(digit).collect(),
+            h: heads,
+            y: zones,
+            b: base,
+            p: rows,
             s: (n == 0).then(|| (*self.spec).clone()),
             t: (n == 0).then_some(self.accepted.0),
             z: (n == 0).then_some(self.part_size),
@@ -244,13 +382,13 @@
     pub fn restore(
         seat: usize,
         mark: u64,
-        part_size: u32,
+        size: PartSize,
         stored: &BTreeMap<usize, (Value, u64)>,
     ) -> Option<Job> {
         let first: StoredPart = serde_json::from_value(stored.get(&0)?.0.clone()).ok()?;
         let spec = Rc::new(first.s?);
-        let part_size = first.z.unwrap_or(part_size).max(1);
-        let mut job = Job::new(spec, seat, mark, Micros(first.t.unwrap_or(0)), part_size);
+        let size = PartSize { tasks: first.z.unwrap_or(size.tasks).max(1), ..size };
+        let mut job = Job::new(spec, seat, mark, Micros(first.t.unwrap_or(0)), size);
         for (n, (value, mark)) in stored {
             let read: StoredPart = serde_json::from_value(value.clone()).ok()?;
             let part = job.parts.get_mut(*n)?;
@@ -258,15 +396,21 @@
             part.version = read.v;
             part.stored = read.v;
             part.mark = *mark;
-            for (from, to) in read.d {
-                for i in from..=to {
+            part.put = read.v;
+            let begin = *n as u32 * size.tasks;
+            for (at, digit) in read.d.chars().enumerate() {
+                let digit = digit.to_digit(16)?;
+                for bit in (0..4).filter(|bit| digit & (1 << bit) != 0) {
+                    let i = begin + at as u32 * 4 + bit;
                     if part.pending.remove(&i) {
                         part.done.insert(i);
                     }
                 }
             }
-            for (i, machine, session, attempt, zone, at) in read.p {
+            for (i, machine, session, attempt, zone, at) in read.placements()? {
                 if part.pending.remove(&i) {
+                    let bytes = stored_bytes(&machine, session, attempt, &zone);
+                    part.bytes += bytes;
                     let placement = Placement {
                         machine: machine.into(),
                         session,
@@ -279,6 +423,7 @@
                         stop_seq: None,
                         seen: None,
                         running_since: None,
+                        bytes,
                     };
                     part.placed.insert(i, placement);
                 }
@@ -313,9 +458,15 @@
         self.parts.iter().map(|p| p.placed.len() as u32).sum()
     }
 
-    /// The first task to be placed.
+    /// The first task to be placed, in a part whose value has room for it.
     pub fn first_pending(&self) -> Option<u32> {
-        self.parts.iter().find_map(|p| p.pending.first().copied())
+        let open = |p: &&Part| p.placed.is_empty() || p.bytes + 2 * PLACEMENT_BYTES <= self.room;
+        self.parts.iter().filter(open).find_map(|p| p.pending.first().copied())
+    }
+
+    /// Parts with placements that are not stored yet.
+    pub fn fresh_parts(&self) -> usize {
+        self.parts.iter().filter(|p| p.fresh()).count()
     }
 
     /// True once every task has completed.
@@ -338,7 +489,10 @@
         }
         part.version += 1;
         part.attempt += 1;
+        part.put = part.version;
         let (attempt, version) = (part.attempt, part.version);
+        let bytes = stored_bytes(machine, session, attempt, zone);
+        part.bytes += bytes;
         part.placed.insert(
             index,
             Placement {
@@ -353,6 +507,7 @@
                 stop_seq: None,
                 seen: None,
                 running_since: None,
+                bytes,
             },
         );
         Some(attempt)
@@ -363,6 +518,7 @@
     pub fn end(&mut self, index: u32, done: bool) -> Option<Placement> {
         let part = self.part_of(index)?;
         let placement = part.placed.remove(&index)?;
+        part.bytes -= placement.bytes.min(part.bytes);
         part.version += 1;
         part.releasing.push((part.version, index, placement.clone()));
         if done {
@@ -391,6 +547,9 @@
     /// Tasks per zone, for `together` and `apart`.
     pub fn zones(&self) -> BTreeMap<Rc<str>, u32> {
         let mut zones = BTreeMap::new();
+        if !self.spec.one_zone && !self.spec.spread {
+            return zones;
+        }
         for p in self.parts.iter().flat_map(|p| p.placed.values()) {
             *zones.entry(Rc::clone(&p.zone)).or_insert(0) += 1;
         }
--- a/src/controller/machine.rs
+++ b/src/controller/machine.rs
@@ -109,6 +109,8 @@
     pub pushed: BTreeSet<Key>,
     /// Direct commands under way.
     pub direct_busy: bool,
+    /// It counted as reporting in time when its view was last made.
+    pub fresh: bool,
 }
 
 impl Post {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -14,6 +14,7 @@
 pub mod place;
 pub mod quota;
 pub mod seat;
+pub mod slots;
 
 mod api;
 mod holder;
@@ -26,7 +27,7 @@
 use crate::cloud::{CloudCall, CloudReply};
 use crate::config::{Config, Options, Settings};
 use crate::peer::{self, Frame, MachineView, SeatWants, WantedTask};
-use crate::state::{StateCall, StateReply};
+use crate::state::{Bucket, StateCall, StateReply, WRITE_SHARE};
 use crate::time::Micros;
 use crate::wire::{JobSpec, JobStage, MachineType};
 use fleet::Fleet;
@@ -210,6 +211,8 @@
     /// Newest message that named all machines; 0: none yet in this term.
     complete: u64,
     machines: BTreeMap<String, (u64, Vec<WantedTask>)>,
+    /// What the tasks use, by team.
+    usage: BTreeMap<String, quota::Amount>,
 }
 
 /// Another controller, as heard.
@@ -283,10 +286,20 @@
     progress: BTreeMap<String, (u32, u32)>,
     /// Own seats' tasks by seat and machine.
     by_machine: BTreeMap<(usize, Rc<str>), TaskSet>,
-    part_size: u32,
+    part_size: job::PartSize,
     submissions: usize,
 
     wants: Vec<HeardWants>,
+    slots: slots::Slots,
+    /// Machines to look at again before the next placement.
+    dirty_slots: BTreeSet<String>,
+    /// Seats whose machines somebody commands, as last looked at.
+    commanded: Vec<bool>,
+    slots_state: BTreeMap<usize, (bool, Option<u64>, u64)>,
+    /// This node's share of the state service's changes, as far as used.
+    puts: Bucket,
+    /// Writes of tasks under way.
+    stores: usize,
     views: BTreeMap<String, MachineView>,
     posts: BTreeMap<String, Post>,
     gone: BTreeSet<String>,
@@ -314,7 +327,7 @@
     note_gone: Vec<String>,
     note_preempt: Vec<peer::Preempt>,
     /// Tasks of other seats that were asked to make room, and when.
-    asked: BTreeMap<Key, Micros>,
+    asked: BTreeMap<Key, (Micros, Rc<str>)>,
     sync_peers: BTreeSet<usize>,
     place_wanted: bool,
     placed_at: Micros,
@@ -361,9 +374,18 @@
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
             by_machine: BTreeMap::new(),
-            part_size: job::part_size(config.settings.state.value_kb),
+            part_size: job::PartSize::new(config.settings.state.value_kb),
             submissions: 0,
             wants: vec![HeardWants::default(); count],
+            slots: slots::Slots::default(),
+            dirty_slots: BTreeSet::new(),
+            commanded: vec![false; count],
+            slots_state: BTreeMap::new(),
+            puts: {
+                let share = config.settings.state.write_rps * WRITE_SHARE / count as f64;
+                Bucket::new(share, share)
+            },
+            stores: 0,
             views: BTreeMap::new(),
             posts: BTreeMap::new(),
             gone: BTreeSet::new(),
@@ -457,6 +479,7 @@
             self.tend_at = self.now + Micros::millis(250);
             self.tend_posts();
             self.tend_jobs();
+            self.tend_asked();
             self.place_wanted = true;
         }
         if self.now >= self.quota_at {
@@ -506,6 +529,8 @@
     }
 
     fn state(&mut self, op: Op, call: StateCall) {
+        self.puts.level(self.now);
+        self.puts.take(call.puts() as f64);
         let id = self.call_id(op);
         self.out.push(Effect::State { id, call });
     }
@@ -609,7 +634,7 @@
             self.machine_gone(&machine);
         }
         if frame.rents {
-            self.draining = frame.draining.into_iter().collect();
+            self.set_draining(frame.draining.into_iter().collect());
         }
         for t in frame.preempt {
             self.give_way(&t);
@@ -658,7 +683,7 @@
             if self.my_term(fleet::RENTING_SEAT).is_some() {
                 frame.rents = true;
                 frame.draining = self.fleet.draining.keys().cloned().collect();
-                self.draining = frame.draining.iter().cloned().collect();
+                self.set_draining(frame.draining.iter().cloned().collect());
             }
         }
         let sync = std::mem::take(&mut self.sync_peers);
@@ -677,6 +702,12 @@
         }
     }
 
+    fn set_draining(&mut self, draining: BTreeSet<String>) {
+        let old = std::mem::replace(&mut self.draining, draining);
+        let changed: Vec<String> = old.symmetric_difference(&self.draining).cloned().collect();
+        self.dirty_slots.extend(changed);
+    }
+
     /// Everything that a peer must know which has heard nothing so far.
     fn full_frame(&self, mut frame: Frame) -> Frame {
         frame.wants.clear();
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -13,11 +13,27 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// Parts in one transaction: with 8 KiB values more would pass 64 KiB.
-const PARTS_PER_TXN: usize = 6;
+/// Parts in one transaction: with 8 KiB values more would pass 64 KiB, and one
+/// large job's would hold up all others.
+const PARTS_PER_TXN: usize = 4;
+/// Writes of tasks under way at once. What changes meanwhile is written together.
+const STORES: usize = 3;
+/// How long ends of tasks may wait for others to be written with.
+const LAZY: Micros = Micros::millis(2_500);
 /// Failures on different machines after which a job itself is suspected.
 const JOB_SUSPECT: u32 = 3;
 
+/// How urgently a job's changes are to be written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Haste {
+    /// Starts, or the end of a whole job, wait for it.
+    Now,
+    /// Ends of tasks, and what is left of jobs that are over.
+    Later,
+    /// Not yet.
+    None,
+}
+
 impl Controller {
     /// Looks at all tasks of a seat on a machine.
     pub(super) fn judge_machine(&mut self, s: usize, machine: &str) {
@@ -135,8 +151,10 @@
             Micros::ZERO
         };
         p.stop = Some(grace);
-        let key = (job.seat, Rc::clone(&p_machine(job, index)));
-        self.dirty_wants.insert(key);
+        let machine = Rc::clone(&p.machine);
+        let s = job.seat;
+        self.touch_slot(&machine);
+        self.dirty_wants.insert((s, machine));
     }
 
     /// Asks for a task to be stopped.
@@ -153,6 +171,7 @@
         }
         p.stop = Some(grace);
         let machine = Rc::clone(&p.machine);
+        self.touch_slot(&machine);
         self.dirty_wants.insert((s, machine));
     }
 
@@ -215,6 +234,7 @@
         }
         self.posts.remove(machine);
         self.views.remove(machine);
+        self.touch_slot(machine);
         self.dirty_posts.remove(machine);
         self.fleet.forget(machine);
         for s in 0..self.seats.len() {
@@ -232,6 +252,7 @@
             return;
         };
         log::debug!("task {id}/{index} ended on {}: {seen:?}", p.machine);
+        let machine = Rc::clone(&p.machine);
         match seen {
             Seen::Done => {
                 job.failures = 0;
@@ -264,8 +285,10 @@
             Seen::Refused => job.not_before = job.not_before.max(now + Micros::millis(100)),
             _ => {}
         }
+        job.lazy_since.get_or_insert(now);
         self.dirty_jobs.insert(id.to_string());
         self.dirty_progress.insert(id.to_string());
+        self.touch_slot(&machine);
         self.place_wanted = true;
     }
 
@@ -304,31 +327,58 @@
         self.state(op, StateCall::Get(job::job_key(id)));
     }
 
-    /// Begins a transaction for every job with changes and none under way.
+    /// Begins transactions for jobs with changes: starts that wait for their
+    /// write and ends of whole jobs first, by rank; what nobody waits for later,
+    /// together, and only from a share that is not needed for the others.
     pub(super) fn store_dirty(&mut self) {
-        if self.dirty_jobs.is_empty() {
+        if self.dirty_jobs.is_empty() || self.stores >= STORES || !self.acting() {
             return;
         }
-        let ids: Vec<String> = self.dirty_jobs.iter().cloned().collect();
-        for id in ids {
-            self.store(&id);
+        let now = self.now;
+        let level = self.puts.level(now);
+        let mut order: Vec<(Haste, u32, Micros, String)> = Vec::new();
+        for id in &self.dirty_jobs {
+            let Some(job) = self.jobs.get(id) else {
+                order.push((Haste::Now, 0, Micros::ZERO, id.clone()));
+                continue;
+            };
+            if !job.busy {
+                let haste = job.haste(now);
+                if haste != Haste::None {
+                    order.push((haste, job.rank(), job.accepted, id.clone()));
+                }
+            }
+        }
+        order.sort();
+        for (haste, _, _, id) in order {
+            // What waits here joins the next write; in the queue of calls it
+            // would be written as it was.
+            let least = match haste {
+                Haste::Now => 1.0,
+                _ => 1.0 + self.puts.burst() / 2.0,
+            };
+            if self.stores >= STORES || level.min(self.puts.level(now)) < least {
+                return;
+            }
+            self.store(&id, haste);
         }
     }
 
-    fn store(&mut self, id: &str) {
+    fn store(&mut self, id: &str, haste: Haste) {
+        let now = self.now;
         let Some(job) = self.jobs.get_mut(id) else {
             self.dirty_jobs.remove(id);
             return;
         };
         let s = job.seat;
-        if job.busy || !self.lease.valid(self.now) {
+        if job.busy {
             return;
         }
         let Some(mine) = self.seats[s].mine.as_ref().filter(|m| m.loaded) else {
             return;
         };
         let (hold, term) = (mine.mark, mine.term);
-        let most = self.settings.state.txn_ops;
+        let most = self.settings.state.txn_ops.min(PARTS_PER_TXN);
         if job.cancelled && !job.over {
             // Its ends need not be stored: nothing of it is ever started again.
             for part in &mut job.parts {
@@ -347,47 +397,56 @@
         };
         let record = job::job_key(id);
         let (mut parts, mut drops, mut done) = (Vec::new(), Vec::new(), false);
+        let mut rest = false;
         if !job.over && job.complete() {
             done = true;
             let value = JobRecord { seat: s, stage: StoredStage::Done, tasks: job.spec.tasks };
             txn.conditions.push(Condition { key: record.clone(), version: job.mark });
-            let key = record.clone();
-            txn.writes.push(Write::Put { key, value: json!(value), lease: None });
-        }
-        if job.over || done {
+            txn.writes.push(Write::Put { key: record, value: json!(value), lease: None });
+            // Its parts are dropped later, when nothing urgent waits.
+            rest = true;
+        } else if job.over {
             for (n, part) in job.parts.iter().enumerate().rev() {
                 if part.mark > 0 && txn.writes.len() < most {
                     drops.push(n);
-                    txn.conditions
-                        .push(Condition { key: job::part_key(s, id, n), version: part.mark });
-                    txn.writes.push(Write::Delete { key: job::part_key(s, id, n) });
+                    let key = job::part_key(s, id, n);
+                    txn.conditions.push(Condition { key: key.clone(), version: part.mark });
+                    txn.writes.push(Write::Delete { key });
                 }
             }
-            if job.over && drops.is_empty() {
+            if drops.is_empty() {
                 self.forget_job(id);
                 return;
             }
         } else {
             txn.conditions.push(Condition { key: record, version: job.mark });
             for n in 0..job.parts.len() {
-                if parts.len() >= PARTS_PER_TXN.min(most) {
-                    break;
-                }
                 let part = &job.parts[n];
-                if part.version > part.stored {
-                    let key = job::part_key(s, id, n);
-                    parts.push((n, part.version));
-                    txn.conditions.push(Condition { key: key.clone(), version: part.mark });
-                    txn.writes.push(Write::Put { key, value: job.encode_part(n), lease: None });
+                if part.version <= part.stored {
+                    continue;
+                }
+                if parts.len() >= most || (haste == Haste::Now && !part.fresh()) {
+                    rest = true;
+                    continue;
                 }
+                let key = job::part_key(s, id, n);
+                parts.push((n, part.version));
+                txn.conditions.push(Condition { key: key.clone(), version: part.mark });
+                txn.writes.push(Write::Put { key, value: job.encode_part(n), lease: None });
             }
             if parts.is_empty() {
-                self.dirty_jobs.remove(id);
+                if !rest {
+                    self.dirty_jobs.remove(id);
+                }
                 return;
             }
         }
         job.busy = true;
-        self.dirty_jobs.remove(id);
+        job.lazy_since = rest.then(|| job.lazy_since.unwrap_or(now));
+        if !rest {
+            self.dirty_jobs.remove(id);
+        }
+        self.stores += 1;
         let op = Op::Store { job: id.to_string(), term, parts, done, drops };
         self.state(op, StateCall::Txn(txn));
     }
@@ -429,6 +488,9 @@
     }
 
     pub(super) fn store_reply(&mut self, op: Op, reply: StateReply) {
+        if matches!(op, Op::Store { .. }) {
+            self.stores = self.stores.saturating_sub(1);
+        }
         let (Op::Store { job: id, term, .. }
         | Op::Recheck { job: id, term }
         | Op::RecheckParts { job: id, term, .. }) = &op
@@ -737,6 +799,7 @@
         }
         let machine = view.machine.clone();
         self.views.insert(machine.clone(), view);
+        self.touch_slot(&machine);
         for s in 0..self.seats.len() {
             self.judge_machine(s, &machine);
         }
@@ -744,13 +807,21 @@
     }
 }
 
-fn p_machine(job: &mut Job, index: u32) -> Rc<str> {
-    job.part_of(index)
-        .and_then(|part| part.placed.get(&index))
-        .map_or_else(|| Rc::from(""), |p| Rc::clone(&p.machine))
-}
-
 impl Job {
+    fn haste(&self, now: Micros) -> Haste {
+        if self.cancelled && !self.over {
+            return if self.booked() > 0 { Haste::Now } else { Haste::Later };
+        }
+        if self.over {
+            return Haste::Later;
+        }
+        if self.complete() || self.fresh_parts() > 0 {
+            return Haste::Now;
+        }
+        let waited = self.lazy_since.is_none_or(|at| now.since(at) >= LAZY);
+        if waited { Haste::Later } else { Haste::None }
+    }
+
     /// How long a task of this job runs, once enough of them have completed.
     pub fn usual_run(&self) -> Option<Micros> {
         if self.run_times.len() < 3 {
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -4,47 +4,27 @@
 use super::fleet::fits;
 use super::job::Job;
 use super::machine::Key;
-use super::place::{self, Candidate};
+use super::place;
 use super::quota::{Amount, EPS};
-use crate::peer::{Demand, Preempt, Seen, SeenTask};
+use super::slots::{Booked, PoolKey, Slot};
+use crate::peer::{Demand, Preempt};
 use crate::time::Micros;
+use crate::wire::JobSpec;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// Least time between two passes: what happens meanwhile is dealt with together.
-const PASS: Micros = Micros::millis(20);
+const PASS: Micros = Micros::millis(40);
+/// Placements in one pass.
+const PASS_TASKS: usize = 200;
+/// Searches in one pass for tasks that make room; each walks the fleet.
+const PASS_SEARCHES: usize = 24;
 
 /// How long a request to make room stands.
 const ASKED: Micros = Micros::secs(1);
 /// Objectives below this leave no time for saves.
 const SHORT_S: f64 = 10.0;
 
-/// A task booked on a machine.
-#[derive(Debug, Clone)]
-struct Booked {
-    rank: u32,
-    team: String,
-    amount: [f64; 3],
-    task: SeenTask,
-    stopping: bool,
-    /// CPU seconds of work that stopping it at once would lose.
-    loss: f64,
-}
-
-/// A machine as a pass sees it.
-#[derive(Debug, Clone)]
-struct Slot {
-    machine: String,
-    machine_type: String,
-    zone: String,
-    spot: bool,
-    session: u64,
-    free: [f64; 3],
-    tasks: Vec<Booked>,
-    /// Tasks that are to make room for the one being placed.
-    victims: Vec<Booked>,
-}
-
 impl Controller {
     /// Own jobs in order of service: teams within their guarantee first, then
     /// priority, deadline and age.
@@ -73,23 +53,25 @@
     }
 
     /// What each team's tasks of all seats use, as far as heard.
-    fn team_usage(&self) -> BTreeMap<String, Amount> {
+    pub(super) fn team_usage(&self) -> BTreeMap<String, Amount> {
         let mut used: BTreeMap<String, Amount> = BTreeMap::new();
         for (s, w) in self.wants.iter().enumerate() {
-            if self.seats[s].mine.is_some() {
+            if self.has_jobs_of(s) {
                 continue;
             }
-            for t in w.machines.values().flat_map(|(_, tasks)| tasks) {
-                let u = used.entry(t.team.clone()).or_default();
-                u[0] += t.cpus;
-                u[1] += t.gpus;
+            for (team, amount) in &w.usage {
+                let u = used.entry(team.clone()).or_default();
+                u[0] += amount[0];
+                u[1] += amount[1];
             }
         }
         for j in self.jobs.values() {
             let n = f64::from(j.booked());
-            let u = used.entry(j.spec.team.clone()).or_default();
-            u[0] += n * j.spec.cpus;
-            u[1] += n * j.spec.gpus;
+            if n > 0.0 {
+                let u = used.entry(j.spec.team.clone()).or_default();
+                u[0] += n * j.spec.cpus;
+                u[1] += n * j.spec.gpus;
+            }
         }
         used
     }
@@ -105,121 +87,142 @@
         used
     }
 
-    fn slots(&self) -> Vec<Slot> {
-        let mut slots = Vec::new();
-        for (name, v) in &self.views {
-            let h = self.seat_of_machine(name);
-            let commanded = self.my_term(h).is_some()
-                || self.holder(h).is_some_and(|m| m != self.me && self.peer_alive(m));
-            if !v.known
-                || !v.healthy
-                || !commanded
-                || v.notice_ms.is_some()
-                || v.term != self.seats[h].term
-                || self.draining.contains(name)
-                || self.gone.contains(name)
-            {
+    /// A machine as placements see it; `None` if nothing may be placed on it.
+    fn slot_of(&self, name: &str) -> Option<(PoolKey, Slot)> {
+        let v = self.views.get(name)?;
+        let h = self.seat_of_machine(name);
+        if !v.known
+            || !v.healthy
+            || !self.commanded[h]
+            || v.notice_ms.is_some()
+            || v.term != self.seats[h].term
+            || self.draining.contains(name)
+            || self.gone.contains(name)
+        {
+            return None;
+        }
+        let t = self.types.get(&v.machine_type)?;
+        let size = [t.cpus, t.gpus, t.memory_gb];
+        let foreign = self.my_term(h).is_none();
+        let mut slot = Slot::new(Rc::from(name), v.session, foreign, size);
+        let over = |job: &str, index: u32, attempt: u64| {
+            v.tasks.iter().any(|t| {
+                t.attempt == attempt && t.index == index && t.job == job && t.seen().over()
+            })
+        };
+        for (s, w) in self.wants.iter().enumerate() {
+            if self.has_jobs_of(s) {
                 continue;
             }
-            let Some(t) = self.types.get(&v.machine_type) else {
-                continue;
-            };
-            let mut slot = Slot {
-                machine: name.clone(),
-                machine_type: v.machine_type.clone(),
-                zone: v.zone.clone(),
-                spot: v.spot,
-                session: v.session,
-                free: [t.cpus, t.gpus, t.memory_gb],
-                tasks: Vec::new(),
-                victims: Vec::new(),
-            };
-            let over = |job: &str, index: u32, attempt: u64| {
-                v.tasks.iter().any(|t| {
-                    t.attempt == attempt && t.index == index && t.job == job && t.seen().over()
-                })
-            };
-            for (s, w) in self.wants.iter().enumerate() {
-                if self.seats[s].mine.is_some() {
+            let tasks = w.machines.get(name).map_or(&[][..], |(_, tasks)| tasks);
+            for t in tasks {
+                // Of another session: gone, and its seat will hear of it.
+                if t.session != v.session || over(&t.job, t.index, t.attempt) {
                     continue;
                 }
-                let tasks = w.machines.get(name).map_or(&[][..], |(_, tasks)| tasks);
-                for t in tasks {
-                    // Of another session: gone, and its seat will hear of it.
-                    if t.session != v.session || over(&t.job, t.index, t.attempt) {
-                        continue;
-                    }
-                    slot.book(Booked {
-                        rank: t.rank,
-                        team: t.team.clone(),
-                        amount: [t.cpus, t.gpus, t.memory_gb],
-                        task: SeenTask {
-                            job: t.job.clone(),
-                            index: t.index,
-                            attempt: t.attempt,
-                            seen: Seen::Running as i32,
-                        },
-                        stopping: t.stop_ms.is_some() || self.was_asked(&t.job, t.index, t.attempt),
-                        loss: t.cpus * self.loss(Micros::secs(t.placed_s), t.checkpoint_s),
-                    });
-                }
+                slot.book(Booked {
+                    rank: t.rank,
+                    team: t.team.clone(),
+                    amount: [t.cpus, t.gpus, t.memory_gb],
+                    job: t.job.clone(),
+                    index: t.index,
+                    attempt: t.attempt,
+                    stopping: t.stop_ms.is_some() || self.was_asked(&t.job, t.index, t.attempt),
+                    placed: Micros::secs(t.placed_s),
+                    checkpoint_s: t.checkpoint_s,
+                });
             }
-            for s in 0..self.seats.len() {
-                let Some(tasks) = self.by_machine.get(&(s, Rc::from(name.as_str()))) else {
+        }
+        for s in (0..self.seats.len()).filter(|s| self.has_jobs_of(*s)) {
+            let Some(tasks) = self.by_machine.get(&(s, Rc::clone(&slot.machine))) else {
+                continue;
+            };
+            for (id, index) in tasks {
+                let Some(j) = self.jobs.get(id) else {
                     continue;
                 };
-                for (id, index) in tasks {
-                    let Some(j) = self.jobs.get(id) else {
-                        continue;
-                    };
-                    let part = &j.parts[(*index / j.part_size) as usize];
-                    let Some(p) = part.placed.get(index).filter(|p| *p.machine == **name) else {
-                        continue;
-                    };
-                    slot.book(Booked {
-                        rank: j.rank(),
-                        team: j.spec.team.clone(),
-                        amount: [j.spec.cpus, j.spec.gpus, j.spec.memory_gb],
-                        task: SeenTask {
-                            job: id.clone(),
-                            index: *index,
-                            attempt: p.attempt,
-                            seen: Seen::Running as i32,
-                        },
-                        stopping: p.stop.is_some(),
-                        loss: j.spec.cpus * self.loss(p.at, j.spec.checkpoint_s),
-                    });
-                }
+                let part = &j.parts[(*index / j.part_size) as usize];
+                let Some(p) = part.placed.get(index).filter(|p| *p.machine == *name) else {
+                    continue;
+                };
+                slot.book(Booked {
+                    rank: j.rank(),
+                    team: j.spec.team.clone(),
+                    amount: [j.spec.cpus, j.spec.gpus, j.spec.memory_gb],
+                    job: id.clone(),
+                    index: *index,
+                    attempt: p.attempt,
+                    stopping: p.stop.is_some(),
+                    placed: p.at,
+                    checkpoint_s: j.spec.checkpoint_s,
+                });
             }
-            // Tasks that nobody is known to want take room of unknown size.
-            let strange = v.tasks.iter().any(|t| {
-                !t.seen().over()
-                    && !slot.tasks.iter().any(|b| {
-                        b.task.attempt == t.attempt
-                            && b.task.index == t.index
-                            && b.task.job == t.job
-                    })
-            });
-            if !strange {
-                slots.push(slot);
+        }
+        // Tasks that nobody is known to want take room of unknown size.
+        let strange = v.tasks.iter().any(|t| {
+            !t.seen().over()
+                && !slot
+                    .tasks
+                    .iter()
+                    .any(|b| b.attempt == t.attempt && b.index == t.index && b.job == t.job)
+        });
+        let key = PoolKey {
+            machine_type: Rc::from(v.machine_type.as_str()),
+            zone: Rc::from(v.zone.as_str()),
+            spot: v.spot,
+        };
+        (!strange).then_some((key, slot))
+    }
+
+    /// Whether a seat's jobs are known here; else what it was heard to want counts.
+    fn has_jobs_of(&self, s: usize) -> bool {
+        self.seats[s].mine.as_ref().is_some_and(|m| m.loaded)
+    }
+
+    /// Notes that a machine has to be looked at before the next placement.
+    pub(super) fn touch_slot(&mut self, machine: &str) {
+        if !self.dirty_slots.contains(machine) {
+            self.dirty_slots.insert(machine.to_string());
+        }
+    }
+
+    /// Brings the slots up to date: only what has changed is looked at.
+    pub(super) fn refresh_slots(&mut self) {
+        for h in 0..self.seats.len() {
+            let commanded = self.my_term(h).is_some()
+                || self.holder(h).is_some_and(|m| m != self.me && self.peer_alive(m));
+            let was = std::mem::replace(&mut self.commanded[h], commanded);
+            let state = (self.has_jobs_of(h), self.my_term(h), self.seats[h].term);
+            if was != commanded || self.slots_state.get(&h) != Some(&state) {
+                // The seat has changed hands or its holder has fallen silent.
+                self.slots_state.insert(h, state);
+                let theirs: Vec<String> =
+                    self.views.keys().filter(|m| self.seat_of_machine(m) == h).cloned().collect();
+                self.dirty_slots.extend(theirs);
+                // What it wants is read from another place from now on.
+                let wanted: Vec<String> = self.wants[h].machines.keys().cloned().collect();
+                self.dirty_slots.extend(wanted);
             }
         }
-        slots
+        for machine in std::mem::take(&mut self.dirty_slots) {
+            let slot = self.slot_of(&machine);
+            self.slots.set(&machine, slot);
+        }
     }
 
-    /// One pass over the queue.
+    /// One pass over the queue. What is left when its bounds are reached goes
+    /// on in the next turn, so that reports and renewals are never starved.
     pub(super) fn place(&mut self) {
         if !self.place_wanted || self.now < self.placed_at + PASS || self.types.is_empty() {
             return;
         }
         self.place_wanted = false;
         self.placed_at = self.now;
+        self.refresh_slots();
         let order = self.queue_order();
         if order.is_empty() {
             return;
         }
-        let mut slots = self.slots();
-        let mut usage = self.team_usage();
         let mut theirs: Vec<Demand> = self
             .peers
             .iter()
@@ -228,36 +231,51 @@
             .collect();
         // Tasks that no machine has room for, though smaller ones might.
         let ours = self.demand();
-        let blocked: Vec<Demand> = theirs
-            .iter()
-            .chain(&ours)
-            .filter(|d| !slots.iter().any(|m| m.takes(d) > 0))
-            .cloned()
-            .collect();
+        let blocked: Vec<Demand> =
+            theirs.iter().chain(&ours).filter(|d| !self.slots.takes(d)).cloned().collect();
+        let mut pass = Pass {
+            usage: self.team_usage(),
+            blocked,
+            failed: Vec::new(),
+            left: PASS_TASKS,
+            searches: PASS_SEARCHES,
+        };
         for id in order {
+            if pass.left == 0 || self.waiting_parts() >= self.part_backlog() {
+                self.place_wanted = true;
+                break;
+            }
             let Some(rank) = self.jobs.get(&id).map(Job::rank) else {
                 continue;
             };
             // What waits at the peers and is more urgent gets its room first:
             // taken by this job, it would only be taken back by preemption.
+            let slots = &mut self.slots;
             theirs.retain(|d| {
                 let first = d.rank < rank;
                 if first {
-                    hold_room(&mut slots, d);
+                    slots.hold(d);
                 }
                 !first
             });
-            self.place_job(&id, &mut slots, &mut usage, &blocked);
+            self.place_job(&id, &mut pass);
         }
+        self.slots.release_holds();
+    }
+
+    /// Parts with placements that are not stored yet.
+    fn waiting_parts(&self) -> usize {
+        self.dirty_jobs.iter().filter_map(|id| self.jobs.get(id)).map(Job::fresh_parts).sum()
     }
 
-    fn place_job(
-        &mut self,
-        id: &str,
-        slots: &mut [Slot],
-        usage: &mut BTreeMap<String, Amount>,
-        blocked: &[Demand],
-    ) {
+    /// Placements wait for writes in a small buffer, about a second's worth: a
+    /// later decision knows more.
+    fn part_backlog(&self) -> usize {
+        let share = self.settings.state.write_rps / self.seats.len().max(1) as f64;
+        (share as usize).max(4)
+    }
+
+    fn place_job(&mut self, id: &str, pass: &mut Pass) {
         let (now, wall) = (self.now, self.wall());
         let Some(job) = self.jobs.get(id) else {
             return;
@@ -286,84 +304,164 @@
         let mut used = self.seat_usage(s, &spec.team);
         let hurried = self.fetch_too_slow(job);
         let slack = if hurried { u32::MAX } else { place::slack(&self.options, spec.image_gb) };
-        let pack =
-            !hurried && blocked.iter().any(|d| d.cpus > spec.cpus || d.memory_gb > spec.memory_gb);
+        let pack = !hurried
+            && pass.blocked.iter().any(|d| d.cpus > spec.cpus || d.memory_gb > spec.memory_gb);
         let mut zones = job.zones();
         let save = self.time_to_save(job);
+        let pools = self.slots.pools(|k| {
+            spec.types.as_ref().is_none_or(|l| l.iter().any(|t| **t == *k.machine_type))
+                && (spec.spot || !k.spot)
+                && spec.zone.as_deref().is_none_or(|z| z == &*k.zone)
+        });
+        // Others of the same shape fail for the same reason, unless this job
+        // is barred from machines that are open to them.
+        let plain = job.avoid.is_empty() && !spec.one_zone && !spec.spread;
+        let mut holders: Vec<usize> = self
+            .images
+            .holders(now, &spec.image)
+            .filter_map(|(machine, session)| {
+                let id = self.slots.id(machine)?;
+                (self.slots.get(id)?.session == session && self.slots.among(id, &pools))
+                    .then_some(id)
+            })
+            .collect();
         let reason = loop {
             let Some(job) = self.jobs.get(id) else {
                 return;
             };
             let Some(index) = job.first_pending() else {
-                break "starting";
+                break if job.pending() > 0 { "earlier tasks of it first" } else { "starting" };
             };
             if (0..2).any(|r| need[r] > 0.0 && used[r] + need[r] > grant[r] + EPS) {
                 break "the team's limit";
             }
-            let candidates: Vec<Candidate<'_>> = slots
-                .iter()
-                .filter(|m| {
-                    self.suits(job, &zones, m)
-                        && fits(&m.free, &need) > 0
-                        && !self.lists(&m.machine, id, index)
-                })
-                .map(|m| Candidate {
-                    machine: &m.machine,
-                    booked: m.tasks.len() as u32,
-                    free_cpus: m.free[0],
-                    holds_image: self.images.holds(now, &spec.image, &m.machine, m.session),
-                })
-                .collect();
-            let holder = candidates.iter().any(|c| c.holds_image);
-            let mut chosen = place::choose(&candidates, slack, pack).map(String::from);
-            if hurried && !holder && chosen.is_some() {
-                // Nobody with room has the image: a holder on which less urgent
-                // tasks make room starts the task sooner.
-                let found = self.make_room(job, index, &zones, slots, usage, true);
-                chosen = found.map(|at| slots[at].machine.clone()).or(chosen);
+            if pass.left == 0 {
+                break "the next pass";
             }
-            let at = match chosen.as_deref() {
-                Some(chosen) => slots.iter().position(|m| m.machine == chosen),
-                None => self.make_room(job, index, &zones, slots, usage, false),
+            let suits = |_: usize, m: &Slot| {
+                !job.avoid.contains(&m.machine) && !self.lists(&m.machine, id, index)
             };
-            let Some(at) = at else {
+            let narrow = spec.one_zone || spec.spread;
+            let passes = |at: usize, m: &Slot| {
+                let zone = || self.slots.pool_of(at).map_or("", |k| &k.zone);
+                (!narrow || job.zone_allows(&zones, zone())) && suits(at, m)
+            };
+            let known_full = pass.failed.iter().any(|f| f.stops.is_none() && f.covers(&spec));
+            let free = if known_full {
+                None
+            } else if pack {
+                self.slots.fullest(&pools, &need, passes)
+            } else {
+                self.slots.freest(&pools, &need, passes)
+            };
+            let holder = match free {
+                Some(_) if !pack => self.slots.least(holders.iter(), &pools, &need, passes),
+                _ => None,
+            };
+            let mut chosen = match (free, holder) {
+                (Some(f), Some(h)) => {
+                    let booked = |at: usize| self.slots.get(at).map_or(0, |s| s.tasks.len() as u32);
+                    Some(if place::holder_wins(booked(f), booked(h), slack) { h } else { f })
+                }
+                (free, _) => free,
+            };
+            if free.is_none() && plain && !known_full {
+                pass.failed.push(Failed::new(&spec, None));
+            }
+            let mut victims = Vec::new();
+            // Nobody with room has the image: a holder on which less urgent
+            // tasks make room starts the task sooner.
+            let for_image = hurried && holder.is_none() && chosen.is_some();
+            if chosen.is_none() || for_image {
+                let entitled =
+                    self.within_guarantee(&pass.usage, &spec.team, [spec.cpus, spec.gpus]);
+                let stops = Some((rank, entitled.then(|| spec.team.clone()), for_image));
+                let hopeless = pass.searches == 0
+                    || (!entitled && self.slots.below(rank) == 0)
+                    || pass.failed.iter().any(|f| f.stops == stops && f.covers(&spec));
+                let found = if hopeless {
+                    None
+                } else {
+                    pass.searches -= 1;
+                    let only = for_image.then_some(&holders[..]);
+                    let found = self.make_room(job, &pools, &pass.usage, entitled, only, passes);
+                    if found.is_none() && plain {
+                        pass.failed.push(Failed::new(&spec, stops));
+                    }
+                    found
+                };
+                if let Some((at, list)) = found {
+                    chosen = Some(at);
+                    victims = list;
+                }
+            }
+            let Some(at) = chosen else {
                 break "no machine with room";
             };
-            let slot = &slots[at];
-            let hit = self.images.holds(now, &spec.image, &slot.machine, slot.session);
-            for b in std::mem::take(&mut slots[at].victims) {
-                self.ask_to_stop(&b, save);
+            let Some(slot) = self.slots.get(at) else {
+                break "no machine with room";
+            };
+            let (machine, session) = (Rc::clone(&slot.machine), slot.session);
+            let zone = self.slots.pool_of(at).map(|k| Rc::clone(&k.zone)).unwrap_or_default();
+            let hit = holders.contains(&at);
+            if !victims.is_empty() {
+                let mut stopped = Vec::new();
+                self.slots.change(at, |slot| {
+                    for i in &victims {
+                        let b = &mut slot.tasks[*i];
+                        b.stopping = true;
+                        for (f, a) in slot.free.iter_mut().zip(b.amount) {
+                            *f += a;
+                        }
+                        stopped.push(b.clone());
+                    }
+                });
+                for b in stopped {
+                    let u = pass.usage.entry(b.team.clone()).or_default();
+                    u[0] -= b.amount[0];
+                    u[1] -= b.amount[1];
+                    self.ask_to_stop(&b, save, &machine);
+                }
+                // Room of any shape may have come up beside it.
+                pass.failed.retain(|f| f.stops.is_some());
             }
-            let slot = &mut slots[at];
             let Some(job) = self.jobs.get_mut(id) else {
                 return;
             };
-            let Some(attempt) = job.put(wall, index, &slot.machine, slot.session, &slot.zone)
-            else {
+            let Some(attempt) = job.put(wall, index, &machine, session, &zone) else {
                 break "no machine with room";
             };
+            let rank = job.rank();
+            pass.left -= 1;
             self.counts.placed += 1;
             self.counts.image_hits += u64::from(hit);
-            log::debug!("task {id}/{index} attempt {attempt} goes to {}", slot.machine);
-            *zones.entry(Rc::from(slot.zone.as_str())).or_insert(0) += 1;
+            log::debug!("task {id}/{index} attempt {attempt} goes to {machine}");
+            if narrow {
+                *zones.entry(zone).or_insert(0) += 1;
+            }
             used[0] += need[0];
             used[1] += need[1];
-            let team = usage.entry(spec.team.clone()).or_default();
+            let team = pass.usage.entry(spec.team.clone()).or_default();
             team[0] += need[0];
             team[1] += need[1];
-            slot.book(Booked {
-                rank: job.rank(),
-                team: spec.team.clone(),
-                amount: need,
-                task: SeenTask { job: id.to_string(), index, attempt, seen: Seen::Sent as i32 },
-                stopping: false,
-                loss: 0.0,
+            self.slots.change(at, |slot| {
+                slot.book(Booked {
+                    rank,
+                    team: spec.team.clone(),
+                    amount: need,
+                    job: id.to_string(),
+                    index,
+                    attempt,
+                    stopping: false,
+                    placed: wall,
+                    checkpoint_s: spec.checkpoint_s,
+                });
             });
-            self.images.note(now, &spec.image, &slot.machine, slot.session);
-            self.by_machine
-                .entry((s, Rc::from(slot.machine.as_str())))
-                .or_default()
-                .insert((id.to_string(), index));
+            if !hit {
+                holders.push(at);
+            }
+            self.images.note(now, &spec.image, &machine, session);
+            self.by_machine.entry((s, machine)).or_default().insert((id.to_string(), index));
             self.dirty_jobs.insert(id.to_string());
         };
         if let Some(j) = self.jobs.get_mut(id) {
@@ -380,107 +478,119 @@
     }
 
     /// Finds a machine on which stopping other tasks makes room for a task of
-    /// the job, choosing what loses least work. Only lower priorities give
-    /// way, or work that another team runs beyond its guarantee to a team
-    /// that is within its own.
+    /// the job, choosing what loses least work; the machine and which of its
+    /// tasks. Only lower priorities give way, or work that another team runs
+    /// beyond its guarantee to a team that is within its own (`entitled`).
     fn make_room(
         &self,
         job: &Job,
-        index: u32,
-        zones: &BTreeMap<Rc<str>, u32>,
-        slots: &mut [Slot],
-        usage: &mut BTreeMap<String, Amount>,
-        holders: bool,
-    ) -> Option<usize> {
+        pools: &[usize],
+        usage: &BTreeMap<String, Amount>,
+        entitled: bool,
+        only: Option<&[usize]>,
+        passes: impl Fn(usize, &Slot) -> bool,
+    ) -> Option<(usize, Vec<usize>)> {
         let spec = &job.spec;
+        let rank = job.rank();
         let need = [spec.cpus, spec.gpus, spec.memory_gb];
-        let entitled = self.within_guarantee(usage, &spec.team, [spec.cpus, spec.gpus]);
+        let beyond: Vec<&str> = self
+            .quotas
+            .keys()
+            .map(String::as_str)
+            .filter(|t| entitled && *t != spec.team && !self.within_guarantee(usage, t, [0.0, 0.0]))
+            .collect();
+        let gives =
+            |b: &Booked| !b.stopping && (b.rank > rank || beyond.iter().any(|t| *t == b.team));
+        let too_slow = self.fetch_too_slow(job);
         let mut best: Option<(f64, usize, Vec<usize>)> = None;
-        for (at, slot) in slots.iter().enumerate() {
-            if !self.suits(job, zones, slot) || self.lists(&slot.machine, &spec.id, index) {
-                continue;
-            }
-            if holders && !self.images.holds(self.now, &spec.image, &slot.machine, slot.session) {
+        let all = self.slots.iter().map(|(id, _, slot)| (id, slot));
+        let some =
+            only.unwrap_or_default().iter().filter_map(|id| Some((*id, self.slots.get(*id)?)));
+        let slots: Box<dyn Iterator<Item = (usize, &Slot)>> =
+            if only.is_some() { Box::new(some) } else { Box::new(all) };
+        for (at, slot) in slots {
+            if !slot.tasks.iter().any(&gives) || !self.slots.among(at, pools) {
                 continue;
             }
-            let mut order: Vec<usize> = (0..slot.tasks.len())
-                .filter(|i| {
-                    let b = &slot.tasks[*i];
-                    let borrowed = entitled
-                        && b.team != spec.team
-                        && !self.within_guarantee(usage, &b.team, [0.0, 0.0]);
-                    !b.stopping && (b.rank > job.rank() || borrowed)
-                })
-                .collect();
-            order.sort_by(|x, y| {
-                let (x, y) = (&slot.tasks[*x], &slot.tasks[*y]);
-                x.loss.total_cmp(&y.loss).then(y.rank.cmp(&x.rank))
-            });
-            let mut free = slot.free;
+            let mut free = slot.room();
             let mut cost = if self.images.holds(self.now, &spec.image, &slot.machine, slot.session)
             {
                 0.0
             } else {
-                let rate = self.types.get(&slot.machine_type).map_or(1.0, |t| t.fetch_gb_per_s);
+                let machine_type = self.slots.pool_of(at).map_or("", |k| &k.machine_type);
+                let rate = self.types.get(machine_type).map_or(1.0, |t| t.fetch_gb_per_s);
                 let fetch = spec.image_gb / rate.max(0.01);
                 // Stopping others for a start that then waits for its image
                 // would gain nothing.
-                spec.cpus * if self.fetch_too_slow(job) { fetch * 100.0 } else { fetch }
+                spec.cpus * if too_slow { fetch * 100.0 } else { fetch }
             };
+            let loss = |b: &Booked| b.amount[0] * self.loss(b.placed, b.checkpoint_s);
+            let mut order: Vec<(f64, u32, usize)> = slot
+                .tasks
+                .iter()
+                .enumerate()
+                .filter(|(_, b)| gives(b))
+                .map(|(i, b)| (loss(b), b.rank, i))
+                .collect();
+            order.sort_by(|x, y| x.0.total_cmp(&y.0).then(y.1.cmp(&x.1)).then(x.2.cmp(&y.2)));
             let mut victims = Vec::new();
-            for i in order {
+            for (loss, _, i) in order {
                 if fits(&free, &need) > 0 {
                     break;
                 }
-                let b = &slot.tasks[i];
-                for (f, a) in free.iter_mut().zip(b.amount) {
+                for (f, a) in free.iter_mut().zip(slot.tasks[i].amount) {
                     *f += a;
                 }
-                cost += b.loss + 1.0;
+                cost += loss + 1.0;
                 victims.push(i);
             }
             // For the sake of a fetch no more is thrown away than the fetch takes.
-            let worth = !holders || cost <= spec.cpus * spec.image_gb / self.least_fetch_rate();
-            if worth && fits(&free, &need) > 0 && best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
+            let worth =
+                only.is_none() || cost <= spec.cpus * spec.image_gb / self.least_fetch_rate();
+            if worth
+                && fits(&free, &need) > 0
+                && best.as_ref().is_none_or(|(c, _, _)| cost < *c)
+                && passes(at, slot)
+            {
                 best = Some((cost, at, victims));
             }
         }
-        let (_, at, victims) = best?;
-        let slot = &mut slots[at];
-        for i in &victims {
-            let b = &mut slot.tasks[*i];
-            b.stopping = true;
-            for (f, a) in slot.free.iter_mut().zip(b.amount) {
-                *f += a;
-            }
-            let u = usage.entry(b.team.clone()).or_default();
-            u[0] -= b.amount[0];
-            u[1] -= b.amount[1];
-        }
-        slot.victims = victims.iter().map(|i| slot.tasks[*i].clone()).collect();
-        Some(at)
+        best.map(|(_, at, victims)| (at, victims))
     }
 
-    fn ask_to_stop(&mut self, b: &Booked, save: bool) {
-        log::debug!("task {}/{} makes room", b.task.job, b.task.index);
-        let p =
-            Preempt { job: b.task.job.clone(), index: b.task.index, attempt: b.task.attempt, save };
+    fn ask_to_stop(&mut self, b: &Booked, save: bool, machine: &Rc<str>) {
+        log::debug!("task {}/{} makes room", b.job, b.index);
+        let p = Preempt { job: b.job.clone(), index: b.index, attempt: b.attempt, save };
         if self.jobs.contains_key(&p.job) {
             self.give_way(&p);
         } else {
             let key = Key { job: p.job.clone(), index: p.index, attempt: p.attempt };
-            let now = self.now;
-            self.asked.retain(|_, at| now.since(*at) < ASKED);
-            self.asked.insert(key, now);
+            self.asked.insert(key, (self.now, Rc::clone(machine)));
             self.note_preempt.push(p);
         }
     }
 
+    /// Lets go of requests to make room that nobody has heeded.
+    pub(super) fn tend_asked(&mut self) {
+        let now = self.now;
+        let mut stale = Vec::new();
+        self.asked.retain(|_, (at, machine)| {
+            let stands = now.since(*at) < ASKED;
+            if !stands {
+                stale.push(Rc::clone(machine));
+            }
+            stands
+        });
+        for machine in stale {
+            self.touch_slot(&machine);
+        }
+    }
+
     /// Whether another seat's task was asked to make room a moment ago. Asked
     /// again, it would be counted on twice; and its seat may be out of reach.
     fn was_asked(&self, job: &str, index: u32, attempt: u64) -> bool {
         let key = Key { job: job.to_string(), index, attempt };
-        self.asked.get(&key).is_some_and(|at| self.now.since(*at) < ASKED)
+        self.asked.get(&key).is_some_and(|(at, _)| self.now.since(*at) < ASKED)
     }
 
     fn least_fetch_rate(&self) -> f64 {
@@ -511,15 +621,6 @@
             .all(|within| within >= SHORT_S)
     }
 
-    /// Whether a job's tasks may go to a machine at all, room aside.
-    fn suits(&self, job: &Job, zones: &BTreeMap<Rc<str>, u32>, m: &Slot) -> bool {
-        let spec = &job.spec;
-        spec.types.as_ref().is_none_or(|l| l.contains(&m.machine_type))
-            && (spec.spot || !m.spot)
-            && job.zone_allows(zones, &m.zone)
-            && !job.avoid.contains(m.machine.as_str())
-    }
-
     /// Whether a machine still lists an earlier attempt of a task. One that
     /// ended and is kept, since a late command may start it anew, would be
     /// forgotten by a worker that takes another attempt in its place; and then
@@ -554,7 +655,7 @@
             }
             left[0] -= f64::from(tasks) * spec.cpus;
             left[1] -= f64::from(tasks) * spec.gpus;
-            list.push(Demand {
+            let one = Demand {
                 tasks,
                 cpus: spec.cpus,
                 gpus: spec.gpus,
@@ -563,7 +664,11 @@
                 zone: spec.zone.clone(),
                 spot: spec.spot,
                 rank: j.rank(),
-            });
+            };
+            match list.iter_mut().find(|d| Demand { tasks, ..(*d).clone() } == one) {
+                Some(same) => same.tasks += tasks,
+                None => list.push(one),
+            }
             if list.len() >= 200 {
                 break;
             }
@@ -572,51 +677,57 @@
     }
 
     /// Room that is free on known machines, for the renting seat.
-    pub(super) fn free_rooms(&self) -> BTreeMap<String, (super::fleet::Room, usize)> {
-        self.slots()
-            .into_iter()
-            .map(|s| {
-                let room = super::fleet::Room {
-                    machine_type: s.machine_type,
-                    zone: s.zone,
-                    spot: s.spot,
-                    free: s.free,
-                };
-                (s.machine, (room, s.tasks.len()))
+    pub(super) fn free_rooms(&self) -> Vec<super::fleet::Room> {
+        self.slots
+            .iter()
+            .filter(|(_, _, s)| s.free[0] > EPS)
+            .map(|(_, key, s)| super::fleet::Room {
+                machine_type: Rc::clone(&key.machine_type),
+                zone: Rc::clone(&key.zone),
+                spot: key.spot,
+                free: s.free,
             })
             .collect()
     }
 }
 
-/// Keeps room for waiting tasks of other seats, where there is any.
-fn hold_room(slots: &mut [Slot], d: &Demand) {
-    let mut left = d.tasks;
-    for m in slots {
-        let n = m.takes(d).min(left);
-        left -= n;
-        for (f, a) in m.free.iter_mut().zip([d.cpus, d.gpus, d.memory_gb]) {
-            *f -= a * f64::from(n);
-        }
-        if left == 0 {
-            return;
-        }
-    }
+/// What a pass over the queue has found out so far.
+struct Pass {
+    /// What teams use, with what this pass has placed.
+    usage: BTreeMap<String, Amount>,
+    /// Waiting tasks that no machine has room for.
+    blocked: Vec<Demand>,
+    /// Shapes that found no room.
+    failed: Vec<Failed>,
+    /// Placements that may still be made.
+    left: usize,
+    /// Searches for tasks that make room that may still be made.
+    searches: usize,
 }
 
-impl Slot {
-    /// How many of some waiting tasks have room here.
-    fn takes(&self, d: &Demand) -> u32 {
-        if super::fleet::allows(d, &self.machine_type, &self.zone, self.spot) {
-            fits(&self.free, &[d.cpus, d.gpus, d.memory_gb])
-        } else {
-            0
-        }
+/// A shape that found no room, so that others like it need not look again.
+struct Failed {
+    spec: Rc<JobSpec>,
+    /// Rank, team if within its guarantee, and whether only holders of the
+    /// image were looked at, where tasks were to make room; `None` for free room.
+    stops: Option<(u32, Option<String>, bool)>,
+}
+
+impl Failed {
+    fn new(spec: &Rc<JobSpec>, stops: Option<(u32, Option<String>, bool)>) -> Failed {
+        Failed { spec: Rc::clone(spec), stops }
     }
 
-    fn book(&mut self, b: Booked) {
-        for (f, a) in self.free.iter_mut().zip(b.amount) {
-            *f -= a;
-        }
-        self.tasks.push(b);
+    /// Whether a job that needs at least as much, of the same machines, must
+    /// fail too.
+    fn covers(&self, spec: &JobSpec) -> bool {
+        let f = &self.spec;
+        f.cpus <= spec.cpus
+            && f.gpus <= spec.gpus
+            && f.memory_gb <= spec.memory_gb
+            && f.types == spec.types
+            && f.zone == spec.zone
+            && f.spot == spec.spot
+            && (self.stops.as_ref().is_none_or(|(_, _, image)| !image) || f.image == spec.image)
     }
 }
--- a/src/controller/renter.rs
+++ b/src/controller/renter.rs
@@ -8,6 +8,7 @@
 use crate::wire::{ListedMachine, MachineStage, RentRequest};
 use log::{info, warn};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 /// Between lists of the machines.
 const LIST_EVERY: Micros = Micros::millis(2_000);
@@ -34,7 +35,9 @@
             return;
         };
         if now >= self.fleet.list_at && self.fleet.listing.is_none() {
-            self.fleet.list_at = now + LIST_EVERY;
+            // A page holds 500: more pages leave less of the rate for renting.
+            let pages = self.fleet.machines.len() as u64 / 500 + 1;
+            self.fleet.list_at = now + Micros(LIST_EVERY.0 * pages);
             self.fleet.listing = Some((now, Vec::new()));
             let op = Op::ListMachines { asked: now, term };
             self.cloud(op, CloudCall::List { after: None });
@@ -77,7 +80,8 @@
             let spare = (f64::from(d.tasks) * self.options.spare_share).ceil();
             d.tasks = d.tasks.saturating_add(spare as u32);
         }
-        let mut rooms: Vec<Room> = self.free_rooms().into_values().map(|(room, _)| room).collect();
+        self.refresh_slots();
+        let mut rooms: Vec<Room> = self.free_rooms();
         for (name, m) in &self.fleet.machines {
             let up = self.views.get(name).is_some_and(|v| v.known);
             if up || m.stage == MachineStage::Failed || self.fleet.draining.contains_key(name) {
@@ -85,8 +89,8 @@
             }
             if let Some(t) = self.types.get(&m.machine_type) {
                 rooms.push(Room {
-                    machine_type: m.machine_type.clone(),
-                    zone: m.zone.clone(),
+                    machine_type: Rc::from(m.machine_type.as_str()),
+                    zone: Rc::from(m.zone.as_str()),
                     spot: m.spot,
                     free: [t.cpus, t.gpus, t.memory_gb],
                 });
@@ -108,7 +112,7 @@
 
     fn plan_returns(&mut self) {
         let now = self.now;
-        let rooms = self.free_rooms();
+        self.refresh_slots();
         let idle = self.options.idle;
         let waiting = !self.all_demand().is_empty();
         let mut drain: Vec<String> = Vec::new();
@@ -127,7 +131,11 @@
                 continue;
             }
             let busy = view.is_some_and(|v| v.tasks.iter().any(|t| !t.seen().over()))
-                || rooms.get(name).is_some_and(|(_, tasks)| *tasks > 0);
+                || self
+                    .slots
+                    .id(name)
+                    .and_then(|id| self.slots.get(id))
+                    .is_some_and(|s| !s.tasks.is_empty());
             if view.is_some_and(|v| v.faulty) {
                 drain.push(name.clone());
             }
@@ -145,6 +153,7 @@
             if !self.fleet.draining.contains_key(&name) {
                 info!("machine {name} is to be returned");
                 self.fleet.draining.insert(name.clone(), now);
+                self.touch_slot(&name);
                 self.draining.insert(name);
             }
         }
--- a/src/controller/seats.rs
+++ b/src/controller/seats.rs
@@ -574,6 +574,7 @@
             self.stop_job(&id);
         }
         for m in machines {
+            self.touch_slot(&m);
             self.judge_machine(s, &m);
         }
         if first {
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -137,8 +137,9 @@
     calls: HashMap<CallId, Call>,
     deadlines: BTreeSet<(Micros, CallId)>,
     budget: Budget,
-    /// State calls waiting for their share of the rate.
-    throttled: VecDeque<CallId>,
+    /// State calls waiting for their share of the rate: reads, and changes,
+    /// which wait longer and must not hold up the reads.
+    throttled: [VecDeque<CallId>; 2],
     peers: BTreeMap<usize, PeerLink>,
     sweep: Micros,
     effects: Vec<Effect>,
@@ -173,7 +174,7 @@
     handle
         .insert_source(timer, |_, _, rt: &mut Runtime| {
             rt.tick();
-            let wait = if rt.throttled.is_empty() { 50 } else { 10 };
+            let wait = if rt.throttled.iter().all(VecDeque::is_empty) { 50 } else { 10 };
             TimeoutAction::ToDuration(std::time::Duration::from_millis(wait))
         })
         .map_err(|e| io::Error::other(e.to_string()))?;
@@ -200,7 +201,7 @@
         calls: HashMap::new(),
         deadlines: BTreeSet::new(),
         budget: Budget::new(s.rps, s.write_rps, members.len()),
-        throttled: VecDeque::new(),
+        throttled: [VecDeque::new(), VecDeque::new()],
         peers,
         sweep: Micros::ZERO,
         effects: Vec::new(),
@@ -676,18 +677,19 @@
         } else {
             Place::State
         };
-        let allowed = self.throttled.is_empty() || call.urgent();
+        let queue = usize::from(call.puts() > 0);
+        let allowed = self.throttled[queue].is_empty() || call.urgent();
         if allowed && self.budget.admit(self.now, &call) {
             let timeout = call.timeout();
             self.start_call(id, CallKind::State(call), place, bytes, timeout);
-        } else if self.throttled.len() < STATE_QUEUE {
+        } else if self.throttled[queue].len() < STATE_QUEUE {
             let deadline = self.now + call.timeout();
             self.calls.insert(
                 id,
                 Call { kind: CallKind::State(call), place, bytes, deadline, conn: None },
             );
             self.deadlines.insert((deadline, id));
-            self.throttled.push_back(id);
+            self.throttled[queue].push_back(id);
         } else {
             self.dispatch(Event::Reply { id, reply: Reply::State(StateReply::Refused) });
         }
@@ -833,7 +835,9 @@
                 Some(conn) => self.close(conn),
                 None => {
                     let place = call.place;
-                    self.throttled.retain(|c| *c != id);
+                    for queue in &mut self.throttled {
+                        queue.retain(|c| *c != id);
+                    }
                     self.pools.entry(place).or_default().queue.retain(|c| *c != id);
                     self.finish(id, None, true);
                 }
@@ -905,22 +909,22 @@
     /// After every turn of the loop: calls whose share has come, and one frame
     /// for each peer with all that has changed.
     fn settle(&mut self) {
-        while let Some(id) = self.throttled.front().copied() {
-            let Some(call) = self.calls.get(&id) else {
-                self.throttled.pop_front();
-                continue;
-            };
-            let CallKind::State(c) = &call.kind else {
-                self.throttled.pop_front();
-                continue;
-            };
-            if !self.budget.admit(self.now, c) {
-                break;
+        for queue in 0..self.throttled.len() {
+            while let Some(id) = self.throttled[queue].front().copied() {
+                let call = match self.calls.get(&id) {
+                    Some(Call { kind: CallKind::State(c), place, .. }) => Some((c, *place)),
+                    _ => None,
+                };
+                if call.is_some_and(|(c, _)| !self.budget.admit(self.now, c)) {
+                    break;
+                }
+                let place = call.map(|(_, place)| place);
+                self.throttled[queue].pop_front();
+                if let Some(place) = place {
+                    self.pools.entry(place).or_default().queue.push_back(id);
+                    self.pump(place);
+                }
             }
-            let place = call.place;
-            self.throttled.pop_front();
-            self.pools.entry(place).or_default().queue.push_back(id);
-            self.pump(place);
         }
         let mut effects = std::mem::take(&mut self.effects);
         self.controller.flush(self.now, &mut effects);
@@ -948,7 +952,7 @@
             "senders": self.senders,
             "refused": self.stats.refused_connections,
             "bad_requests": self.stats.bad_requests,
-            "state_calls_waiting": self.throttled.len(),
+            "state_calls_waiting": self.throttled.iter().map(VecDeque::len).sum::<usize>(),
         });
         serde_json::to_vec(&page).unwrap_or_default()
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -198,6 +198,11 @@
         self.level
     }
 
+    /// Most that may be saved up.
+    pub fn burst(&self) -> f64 {
+        self.burst
+    }
+
     /// Takes `n`, going below zero if need be: an urgent call is never held
     /// back, and later ones make up for it.
     pub fn take(&mut self, n: f64) {
@@ -217,6 +222,9 @@
     }
 }
 
+/// Part of the state service's rates that is used; the rest is for renewals.
+pub const WRITE_SHARE: f64 = 0.9;
+
 /// This node's share of the state service's rates. The service counts all
 /// nodes together, so each takes an equal part and leaves a little unused for
 /// renewals, which are never held back.
@@ -230,7 +238,7 @@
     /// The share of one of `nodes` nodes.
     pub fn new(rps: f64, write_rps: f64, nodes: usize) -> Budget {
         let n = nodes.max(1) as f64;
-        let (calls, puts) = (rps * 0.9 / n, write_rps * 0.9 / n);
+        let (calls, puts) = (rps * WRITE_SHARE / n, write_rps * WRITE_SHARE / n);
         Budget { calls: Bucket::new(calls, calls), puts: Bucket::new(puts, puts) }
     }
 
--- a/tests/rehearsal/store.rs
+++ b/tests/rehearsal/store.rs
@@ -1,5 +1,6 @@
 //! A stand-in of the state service.
 
+use millethold::controller::job::stored_placements;
 use millethold::state::{StateCall, StateReply};
 use millethold::time::Micros;
 use millethold::wire::{Change, Item, Write};
@@ -137,28 +138,31 @@
         let Some((job, index)) = task.split_once('/') else {
             return false;
         };
-        let index: u64 = index.parse().expect("a number");
+        let index: u32 = index.parse().expect("a number");
         self.log.iter().rev().any(|c| {
             let here = c.put.as_ref().is_some_and(|k| k.split('/').nth(2) == Some(job));
-            here && c.value.get("p").and_then(Value::as_array).is_some_and(|list| {
-                list.iter().any(|p| p[0] == index && p[1] == machine && p[3] == attempt)
+            here && stored_placements(&c.value).is_some_and(|list| {
+                list.iter().any(|p| p.0 == index && p.1 == machine && p.3 == attempt)
             })
         })
     }
 
-    /// Whether an attempt is written down as placed at present.
+    /// Whether an attempt is written down as placed at present, in a job that
+    /// is not over: its end makes those of its tasks durable.
     pub fn placed(&self, task: &str, attempt: u64) -> bool {
         let Some((job, index)) = task.split_once('/') else {
             return false;
         };
-        let index: u64 = index.parse().expect("a number");
+        let index: u32 = index.parse().expect("a number");
+        let record = self.keys.get(&format!("j/{job}"));
+        if record.is_some_and(|(value, _, _)| value["g"] != "a") {
+            return false;
+        }
         self.keys.iter().any(|(k, (value, _, _))| {
             k.starts_with("w/")
                 && k.split('/').nth(2) == Some(job)
-                && value
-                    .get("p")
-                    .and_then(Value::as_array)
-                    .is_some_and(|list| list.iter().any(|p| p[0] == index && p[3] == attempt))
+                && stored_placements(value)
+                    .is_some_and(|list| list.iter().any(|p| p.0 == index && p.3 == attempt))
         })
     }
 
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -4,11 +4,12 @@
 use millethold::controller::estimate::Estimates;
 use millethold::controller::fleet::{self, Fleet, Room};
 use millethold::controller::image::ImageIndex;
-use millethold::controller::job::{self, Job};
+use millethold::controller::job::{self, Job, PartSize};
 use millethold::controller::machine::{Key, Post, Sent};
-use millethold::controller::place::{self, Candidate};
+use millethold::controller::place;
 use millethold::controller::quota::{self, Need, TeamQuota};
 use millethold::controller::seat::{self, Hold, Lease, Seat};
+use millethold::controller::slots::{Booked, PoolKey, Slot, Slots};
 use millethold::http::{self, HttpError};
 use millethold::peer::{self, Demand, Frame, Seen};
 use millethold::state::{Bucket, Budget, StateCall, StateReply};
@@ -17,6 +18,8 @@
     self, Cause, Item, ListedMachine, MachineStage, MachineType, Report, ReportedTask, TaskState,
     Txn, Write,
 };
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -137,29 +140,84 @@
     for (gb, want) in [(0.0, 0), (0.99, 0), (1.0, 1), (3.9, 1), (4.0, 2), (12.0, 4), (500.0, 4)] {
         assert_eq!(place::slack(&o, gb), want, "{gb} GB");
     }
-    let c = |machine, booked, free_cpus, holds_image| Candidate {
-        machine,
-        booked,
-        free_cpus,
-        holds_image,
+    // Freest, holder, slack, whether the holder wins.
+    let table =
+        [(1, 1, 0, true), (1, 2, 0, false), (1, 2, 1, true), (1, 5, 4, true), (1, 6, 4, false)];
+    for (freest, holder, slack, want) in table {
+        assert_eq!(place::holder_wins(freest, holder, slack), want, "{freest} {holder} {slack}");
+    }
+    assert!(place::holder_wins(u32::MAX, u32::MAX, u32::MAX));
+}
+
+/// The indexes answer as a walk over all machines would, whatever has changed.
+#[test]
+fn slots() {
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut slots = Slots::default();
+    let mut plain: BTreeMap<String, (PoolKey, Slot)> = BTreeMap::new();
+    let booked = |rank, cpus: f64, stopping| Booked {
+        rank,
+        team: "t".into(),
+        amount: [cpus, 0.0, cpus * 2.0],
+        job: "j-1".into(),
+        index: 0,
+        attempt: 1,
+        stopping,
+        placed: Micros::ZERO,
+        checkpoint_s: 0.0,
     };
-    // Candidates, slack, packing, the machine chosen.
-    let table = [
-        (vec![], 4, false, None),
-        (vec![c("a", 2, 1.0, false), c("b", 1, 1.0, false)], 0, false, Some("b")),
-        (vec![c("a", 1, 1.0, true), c("b", 1, 9.0, false)], 0, false, Some("a")),
-        (vec![c("a", 2, 1.0, true), c("b", 1, 1.0, false)], 0, false, Some("b")),
-        (vec![c("a", 2, 1.0, true), c("b", 1, 1.0, false)], 1, false, Some("a")),
-        (vec![c("a", 5, 1.0, true), c("b", 1, 1.0, false)], 4, false, Some("a")),
-        (vec![c("a", 6, 1.0, true), c("b", 1, 1.0, false)], 4, false, Some("b")),
-        (vec![c("a", 3, 1.0, true), c("b", 2, 1.0, true)], 4, false, Some("b")),
-        (vec![c("a", 1, 2.0, false), c("b", 1, 4.0, false)], 0, false, Some("b")),
-        (vec![c("a", 1, 4.0, true), c("b", 3, 1.0, false)], 4, true, Some("b")),
-        (vec![c("a", 1, 1.0, false), c("b", 3, 1.0, true)], 0, true, Some("b")),
-    ];
-    for (candidates, slack, pack, want) in table {
-        assert_eq!(place::choose(&candidates, slack, pack), want, "{candidates:?} {slack} {pack}");
+    for step in 0..3_000 {
+        let name = format!("vm-{:02}", rng.random_range(0..40));
+        let key = PoolKey {
+            machine_type: "m".into(),
+            zone: if name.ends_with('3') { "a" } else { "b" }.into(),
+            spot: name.ends_with('4'),
+        };
+        if rng.random_range(0..10) == 0 {
+            slots.set(&name, None);
+            plain.remove(&name);
+        } else if rng.random_range(0..3) == 0 || !plain.contains_key(&name) {
+            let mut slot =
+                Slot::new(name.as_str().into(), 1, name.ends_with('5'), [4.0, 0.0, 16.0]);
+            for _ in 0..rng.random_range(0..4) {
+                slot.book(booked(rng.random_range(0..4), 1.0, rng.random_range(0..3) == 0));
+            }
+            slots.set(&name, Some((key.clone(), slot.clone())));
+            plain.insert(name, (key, slot));
+        } else if let (Some(id), Some((_, slot))) = (slots.id(&name), plain.get_mut(&name))
+            && slot.free[0] >= 1.0
+        {
+            slots.change(id, |s| s.book(booked(1, 1.0, false)));
+            slot.book(booked(1, 1.0, false));
+        }
+        let spot = step % 2 == 0;
+        let pools = slots.pools(|k| spot || !k.spot);
+        let need = [[1.0, 0.0, 1.0], [4.0, 0.0, 12.0]][step % 2];
+        let open: Vec<&Slot> = plain
+            .values()
+            .filter(|(k, s)| (spot || !k.spot) && fleet::fits(&s.free, &need) > 0)
+            .map(|(_, s)| s)
+            .collect();
+        let load = |s: &Slot| (s.tasks.len(), s.foreign, -(s.free[0] as i64));
+        let best = |id: Option<usize>| id.and_then(|id| slots.get(id));
+        let freest = best(slots.freest(&pools, &need, |_, _| true)).map(load);
+        assert_eq!(freest, open.iter().map(|s| load(s)).min(), "step {step}");
+        let ids: Vec<usize> = plain.keys().filter_map(|n| slots.id(n)).collect();
+        let least = best(slots.least(ids.iter(), &pools, &need, |_, _| true)).map(load);
+        assert_eq!(least, freest, "step {step}");
+        let fullest = best(slots.fullest(&pools, &need, |_, _| true)).map(|s| s.free[0]);
+        assert_eq!(fullest, open.iter().map(|s| s.free[0]).reduce(f64::min), "step {step}");
+        let tasks = || plain.values().flat_map(|(_, s)| &s.tasks).filter(|b| !b.stopping);
+        assert_eq!(slots.below(1) as usize, tasks().filter(|b| b.rank > 1).count());
+        assert_eq!((slots.len(), slots.is_empty()), (plain.len(), plain.is_empty()));
     }
+    // Room held for others is nobody else's, until it is given up.
+    let d = Demand { tasks: 500, cpus: 1.0, spot: true, ..Demand::default() };
+    assert!(slots.takes(&d));
+    slots.hold(&d);
+    assert!(!slots.takes(&d));
+    slots.release_holds();
+    assert!(slots.takes(&d));
 }
 
 #[test]
@@ -183,6 +241,10 @@
     let held: Vec<&str> =
         ["m1", "m2", "m3", "m4"].into_iter().filter(|m| index.holds(now, "img", m, 1)).collect();
     assert_eq!(held, ["m1", "m3", "m4"]);
+    let mut listed: Vec<_> = index.holders(now, "img").collect();
+    listed.sort();
+    assert_eq!(listed, [("m1", 1), ("m3", 1), ("m4", 1)]);
+    assert_eq!(index.holders(now + age, "img").count(), 1, "too old");
 }
 
 #[test]
@@ -381,7 +443,7 @@
 #[test]
 fn stored_jobs() {
     let spec = wire::parse_job(body().to_string().as_bytes()).expect("a good submission");
-    let size = 5;
+    let size = PartSize { tasks: 5, bytes: 1_000 };
     let mut j = Job::new(Rc::new(spec), 2, 9, Micros::secs(77), size);
     assert_eq!((j.parts.len(), j.pending()), (4, 16));
     let now = Micros::secs(3);
@@ -399,7 +461,8 @@
     let stored: BTreeMap<usize, (Value, u64)> =
         [0, 1].into_iter().map(|n| (n, (j.encode_part(n), 20 + n as u64))).collect();
     // Read with other settings: the stored size of the parts holds.
-    let back = Job::restore(2, 9, 100, &stored).expect("stored parts");
+    let other = PartSize { tasks: 100, bytes: 1_000 };
+    let back = Job::restore(2, 9, other, &stored).expect("stored parts");
     assert_eq!((back.done(), back.booked(), back.pending()), (5, 1, 10));
     assert_eq!(back.accepted, Micros::secs(77));
     assert_eq!(back.parts[1].placed[&7].attempt, 3);
@@ -408,23 +471,45 @@
     assert_eq!(back.parts[1].attempt, 3);
     assert!(Job::restore(2, 9, size, &BTreeMap::new()).is_none());
 
-    // Every state of a part fits in a value, with the longest names.
-    let per = job::part_size(8.0);
+    // Names read back as they were, whatever they look like.
+    let names = ["vm-000231", "vm-231", "7", "", "vm", "a9b", "x99999999999999999999", "vm-0"];
+    let size = PartSize::new(8.0);
     let mut b = body();
-    b["planks"] = json!(per);
-    let spec = wire::parse_job(b.to_string().as_bytes()).expect("a good submission");
-    let mut j = Job::new(Rc::new(spec), 0, 1, now, per);
-    for i in 0..per {
-        j.put(Micros::secs(1_800_000_000), i, "vm-00000000000231", 1_000, "a-zone-with-name");
+    b["planks"] = json!(2_000);
+    let spec = Rc::new(wire::parse_job(b.to_string().as_bytes()).expect("a good submission"));
+    let mut j = Job::new(Rc::clone(&spec), 0, 1, now, size);
+    for (i, name) in names.into_iter().enumerate() {
+        j.put(now, i as u32, name, 1, "a");
     }
-    let bytes = j.encode_part(0).to_string().len();
-    assert!(bytes + 1_400 < 8 * 1024, "{bytes} bytes for {per} tasks");
-    let mut alternate = Job::new(Rc::clone(&j.spec), 0, 1, now, per);
-    for i in (0..per).step_by(2) {
-        alternate.put(now, i, "vm-1", 1, "a");
-        alternate.end(i, true);
+    let placed = job::stored_placements(&j.encode_part(0)).expect("a stored part");
+    assert_eq!(placed.iter().map(|p| p.1.as_str()).collect::<Vec<_>>(), names);
+
+    // Every state of a part fits in a value: no more is placed than it holds.
+    let long = "a-machine-whose-name-is-rather-long-";
+    let table = [
+        ("usual", "vm-", 3, "a-zone", 220),
+        ("late in the day", "vm-", 99_999, "a-zone", 180),
+        ("long names", long, 1_000, "a-zone-with-name", 90),
+    ];
+    for (name, head, session, zone, least) in table {
+        let mut j = Job::new(Rc::clone(&spec), 0, 1, now, size);
+        // Every other task has completed, which is the longest list.
+        for i in (0..size.tasks).step_by(2) {
+            j.put(now, i, "vm-1", 1, "a");
+            j.end(i, true);
+        }
+        let mut placed = 0;
+        while let Some(i) = j.first_pending().filter(|i| *i < size.tasks * 2) {
+            let at = Micros::secs(1_800_000_000 + u64::from(i) * 40);
+            j.put(at, i, &format!("{head}{:06}", 999_999 - i), session, zone);
+            placed += 1;
+        }
+        for n in [0, 1] {
+            let bytes = j.encode_part(n).to_string().len();
+            assert!(bytes + 1_400 * n < 8 * 1024, "{name}: {bytes} bytes in part {n}");
+        }
+        assert!(j.parts[1].placed.len() >= least, "{name}: only {placed} placed");
     }
-    assert!(alternate.encode_part(0).to_string().len() < 8 * 1024);
 }
 
 #[test]
@@ -446,7 +531,7 @@
         b["apart"] = json!(apart);
         b["planks"] = json!(tasks);
         let spec = wire::parse_job(b.to_string().as_bytes()).expect("a good submission");
-        let j = Job::new(Rc::new(spec), 0, 1, Micros::ZERO, 10);
+        let j = Job::new(Rc::new(spec), 0, 1, Micros::ZERO, PartSize { tasks: 10, bytes: 1_000 });
         let zones: BTreeMap<Rc<str>, u32> = taken.iter().map(|(z, n)| (Rc::from(*z), *n)).collect();
         assert_eq!(j.zone_allows(&zones, zone), want, "{together} {apart} {taken:?} {zone}");
     }
