Start only what its owner wants knowing of the machine's term; book rooms early

Ruled out: leases, lists of the cloud, late commands.

Now wants name the terms that their owner knew, a holder starts nothing under a later one; ended attempts are marked so; views of an earlier term prove nothing.

--- a/src/controller/holder.rs
+++ b/src/controller/holder.rs
@@ -4,8 +4,8 @@
 use super::machine::{self, Key, Outcome};
 use super::quota::EPS;
 use super::seat::DRIFT;
-use super::{Controller, DirectReply, Effect, Op, Ticket};
-use crate::peer::{Frame, Heard, MachineView, SeatWants, Seen, WantedTask};
+use super::{Controller, DirectReply, Effect, HeardWants, MachineHeard, Op, Ticket};
+use crate::peer::{Frame, Heard, MachineView, Phase, SeatWants, Seen, WantedTask};
 use crate::time::Micros;
 use crate::wire::{Command, DirectCommands, Refusal, Report, ReportReply, ReportTo};
 use log::{debug, info, warn};
@@ -27,6 +27,17 @@
     Direct,
 }
 
+impl HeardWants {
+    /// Adds tasks to the sums of what teams use, or takes them away.
+    fn count(&mut self, tasks: &[WantedTask], sign: f64) {
+        for t in tasks.iter().filter(|t| t.phase() != Phase::Over) {
+            let u = self.usage.entry(t.team.clone()).or_default();
+            u[0] += sign * t.cpus;
+            u[1] += sign * t.gpus;
+        }
+    }
+}
+
 impl Controller {
     /// Until when a worker may go on after its last answered report.
     fn worker_lease(&self) -> Micros {
@@ -143,17 +154,12 @@
                 }
             }
             let heard = &mut self.wants[s];
-            for t in &m.tasks {
-                let u = heard.usage.entry(t.team.clone()).or_default();
-                u[0] += t.cpus;
-                u[1] += t.gpus;
-            }
-            if let Some((_, old)) = heard.machines.insert(m.machine, (message.seq, m.tasks)) {
-                for t in &old {
-                    let u = heard.usage.entry(t.team.clone()).or_default();
-                    u[0] -= t.cpus;
-                    u[1] -= t.gpus;
-                }
+            heard.count(&m.tasks, 1.0);
+            let h = super::seat::seat_of_machine(&m.machine, self.seats.len());
+            let known = message.terms.get(h).copied().unwrap_or(0);
+            let new = MachineHeard { seq: message.seq, known, tasks: m.tasks };
+            if let Some(old) = heard.machines.insert(m.machine, new) {
+                heard.count(&old.tasks, -1.0);
             }
         }
         for machine in touched {
@@ -188,10 +194,17 @@
     /// Works out the commands for a machine, and books what they start.
     fn commands(&mut self, machine: &str, way: Way) -> Vec<Command> {
         let mut wanted: BTreeMap<Key, WantedTask> = BTreeMap::new();
+        let term = self.seats[self.seat_of_machine(machine)].term;
+        let mut startable: BTreeSet<Key> = BTreeSet::new();
         for w in &self.wants {
-            if let Some((_, tasks)) = w.machines.get(machine) {
-                for t in tasks {
+            if let Some(m) = w.machines.get(machine) {
+                for t in &m.tasks {
                     let key = Key { job: t.job.clone(), index: t.index, attempt: t.attempt };
+                    // Its owner may have given up what an earlier holder had
+                    // refused: it must have said so knowing of this term.
+                    if t.phase() == Phase::Wanted && t.stop_ms.is_none() && m.known >= term {
+                        startable.insert(key.clone());
+                    }
                     wanted.insert(key, t.clone());
                 }
             }
@@ -242,7 +255,7 @@
         // What is not wanted any more, or is to be stopped before it began,
         // is forgotten once no start of it can arrive.
         let dropped = |key: &Key| {
-            unwanted.contains(key) || wanted.get(key).is_some_and(|w| w.stop_ms.is_some())
+            unwanted.contains(key) || (wanted.contains_key(key) && !startable.contains(key))
         };
         post.sent.retain(|key, sent| sent.open() || !dropped(key));
         post.refused.retain(|key| !unwanted.contains(key));
@@ -268,7 +281,7 @@
         let mut starts: Vec<(&Key, &WantedTask)> = wanted
             .iter()
             .filter(|(k, w)| {
-                w.stop_ms.is_none()
+                startable.contains(k)
                     && w.session == post.session
                     && !post.tasks.contains_key(k)
                     && !post.refused.contains(k)
@@ -472,7 +485,7 @@
             .map(|(n, w)| Heard {
                 seat: n as u32,
                 term: w.term,
-                seq: w.machines.get(machine).map_or(0, |(seq, _)| *seq).max(w.complete),
+                seq: w.machines.get(machine).map_or(0, |m| m.seq).max(w.complete),
             })
             .collect();
         MachineView {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -210,11 +210,21 @@
     seq: u64,
     /// Newest message that named all machines; 0: none yet in this term.
     complete: u64,
-    machines: BTreeMap<String, (u64, Vec<WantedTask>)>,
+    machines: BTreeMap<String, MachineHeard>,
     /// What the tasks use, by team.
     usage: BTreeMap<String, quota::Amount>,
 }
 
+/// What a seat wants on one machine, as heard.
+#[derive(Debug, Clone, Default)]
+struct MachineHeard {
+    /// Number of the message.
+    seq: u64,
+    /// Term of the machine's seat that the sender knew.
+    known: u64,
+    tasks: Vec<WantedTask>,
+}
+
 /// Another controller, as heard.
 #[derive(Debug, Clone, Default)]
 struct PeerInfo {
@@ -318,6 +328,8 @@
     refusals_at: Micros,
 
     seq: u64,
+    /// Terms of the seats that own seats' wants have taken into account.
+    told_terms: Vec<u64>,
     dirty_jobs: BTreeSet<String>,
     dirty_wants: BTreeSet<(usize, Rc<str>)>,
     complete_wants: BTreeSet<usize>,
@@ -401,6 +413,7 @@
             refusals: BTreeMap::new(),
             refusals_at: Micros::ZERO,
             seq: 0,
+            told_terms: vec![0; count],
             dirty_jobs: BTreeSet::new(),
             dirty_wants: BTreeSet::new(),
             complete_wants: BTreeSet::new(),
@@ -498,6 +511,7 @@
     pub fn flush(&mut self, now: Micros, out: &mut Vec<Effect>) {
         self.now = now;
         if self.acting() {
+            self.tell_terms();
             self.place();
             self.store_dirty();
             let mut frame = Frame::default();
@@ -724,12 +738,13 @@
                 machines: heard
                     .machines
                     .iter()
-                    .filter(|(_, (_, tasks))| !tasks.is_empty())
-                    .map(|(m, (_, tasks))| peer::MachineWants {
-                        machine: m.clone(),
-                        tasks: tasks.clone(),
+                    .filter(|(_, m)| !m.tasks.is_empty())
+                    .map(|(name, m)| peer::MachineWants {
+                        machine: name.clone(),
+                        tasks: m.tasks.clone(),
                     })
                     .collect(),
+                terms: self.terms_behind(heard),
             });
         }
         frame.views = self.posts.keys().filter_map(|m| self.views.get(m)).cloned().collect();
@@ -742,6 +757,33 @@
         frame
     }
 
+    /// The terms that all of some wants have taken into account.
+    fn terms_behind(&self, heard: &HeardWants) -> Vec<u64> {
+        let mut terms: Vec<u64> = self.seats.iter().map(|s| s.term).collect();
+        for (name, m) in &heard.machines {
+            let h = self.seat_of_machine(name);
+            terms[h] = terms[h].min(m.known);
+        }
+        terms
+    }
+
+    /// A seat has a new term: what is wanted on its machines is said anew, with
+    /// all that was concluded under the earlier one.
+    fn tell_terms(&mut self) {
+        for h in 0..self.seats.len() {
+            if self.seats[h].term > self.told_terms[h] {
+                self.told_terms[h] = self.seats[h].term;
+                let there: Vec<(usize, Rc<str>)> = self
+                    .by_machine
+                    .keys()
+                    .filter(|(_, m)| self.seat_of_machine(m) == h)
+                    .cloned()
+                    .collect();
+                self.dirty_wants.extend(there);
+            }
+        }
+    }
+
     fn note_known(&mut self, job: &str, known: Known) {
         match self.known.insert(job.to_string(), known) {
             // A stage that is final stays: an answer read earlier may come later.
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -4,7 +4,7 @@
 use super::job::{self, Job, JobRecord, Placement, StoredStage};
 use super::seat;
 use super::{Controller, Known, Op};
-use crate::peer::{Frame, MachineView, MachineWants, Preempt, SeatWants, Seen, WantedTask};
+use crate::peer::{Frame, MachineView, MachineWants, Phase, Preempt, SeatWants, Seen, WantedTask};
 use crate::state::{StateCall, StateReply};
 use crate::time::Micros;
 use crate::wire::{Condition, Txn, Write};
@@ -18,6 +18,8 @@
 const PARTS_PER_TXN: usize = 4;
 /// Writes of tasks under way at once. What changes meanwhile is written together.
 const STORES: usize = 3;
+/// Ends of tasks that have waited for longer are written like starts.
+const OVERDUE: Micros = Micros::secs(10);
 /// How long ends of tasks may wait for others to be written with.
 const LAZY: Micros = Micros::millis(2_500);
 /// Failures on different machines after which a job itself is suspected.
@@ -69,7 +71,10 @@
             self.counts.lost += 1;
             return self.end_task(id, index, Seen::Stopped);
         }
-        let Some(view) = self.views.get(&*machine) else {
+        // A view of an earlier holder proves nothing any more: the present one
+        // may begin what that one had refused.
+        let here = self.seats[super::seat::seat_of_machine(&machine, self.seats.len())].term;
+        let Some(view) = self.views.get(&*machine).filter(|v| v.term == here) else {
             return;
         };
         let ended = if view.over_through >= p.session || view.vanished || view.session > p.session {
@@ -286,8 +291,10 @@
             _ => {}
         }
         job.lazy_since.get_or_insert(now);
+        let s = job.seat;
         self.dirty_jobs.insert(id.to_string());
         self.dirty_progress.insert(id.to_string());
+        self.dirty_wants.insert((s, Rc::clone(&machine)));
         self.touch_slot(&machine);
         self.place_wanted = true;
     }
@@ -420,12 +427,13 @@
             }
         } else {
             txn.conditions.push(Condition { key: record, version: job.mark });
+            let fresh = haste == Haste::Now && job.fresh_parts() > 0;
             for n in 0..job.parts.len() {
                 let part = &job.parts[n];
                 if part.version <= part.stored {
                     continue;
                 }
-                if parts.len() >= most || (haste == Haste::Now && !part.fresh()) {
+                if parts.len() >= most || (fresh && !part.fresh()) {
                     rest = true;
                     continue;
                 }
@@ -686,7 +694,7 @@
                 continue;
             };
             let stored = part.stored;
-            let wanted = |p: &Placement| WantedTask {
+            let wanted = |p: &Placement, phase: Phase| WantedTask {
                 job: id.clone(),
                 index,
                 attempt: p.attempt,
@@ -701,21 +709,23 @@
                 team: spec.team.clone(),
                 checkpoint_s: spec.checkpoint_s,
                 placed_s: p.at.0 / 1_000_000,
+                phase: phase as i32,
             };
             // Nothing is asked for before it is written down: a start that
-            // nobody remembers could run beside the next one.
+            // nobody remembers could run beside the next one. Its room is
+            // booked from the decision on.
             if let Some(p) = part.placed.get_mut(&index)
                 && p.machine == *machine
-                && p.version <= stored
             {
                 if p.stop.is_some() {
                     p.stop_seq.get_or_insert(seq);
                 }
-                list.push(wanted(p));
+                let phase = if p.version <= stored { Phase::Wanted } else { Phase::Ahead };
+                list.push(wanted(p, phase));
             }
             for (_, i, p) in &part.releasing {
                 if *i == index && p.machine == *machine && p.version <= stored {
-                    list.push(wanted(p));
+                    list.push(wanted(p, Phase::Over));
                 }
             }
         }
@@ -726,6 +736,7 @@
     /// hat first.
     pub(super) fn send_wants(&mut self, frame: &mut Frame) {
         let mut messages: Vec<SeatWants> = Vec::new();
+        let terms: Vec<u64> = self.seats.iter().map(|s| s.term).collect();
         for s in std::mem::take(&mut self.complete_wants) {
             let Some(term) = self.my_term(s) else {
                 continue;
@@ -743,7 +754,8 @@
                 .iter()
                 .map(|m| MachineWants { machine: m.to_string(), tasks: self.wants_on(s, m, seq) })
                 .collect();
-            messages.push(SeatWants { seat: s as u32, term, seq, complete: true, machines });
+            let terms = terms.clone();
+            messages.push(SeatWants { seat: s as u32, term, seq, complete: true, machines, terms });
         }
         let mut changed: BTreeMap<usize, Vec<Rc<str>>> = BTreeMap::new();
         for (s, m) in std::mem::take(&mut self.dirty_wants) {
@@ -759,7 +771,15 @@
                 .iter()
                 .map(|m| MachineWants { machine: m.to_string(), tasks: self.wants_on(s, m, seq) })
                 .collect();
-            messages.push(SeatWants { seat: s as u32, term, seq, complete: false, machines });
+            let terms = terms.clone();
+            messages.push(SeatWants {
+                seat: s as u32,
+                term,
+                seq,
+                complete: false,
+                machines,
+                terms,
+            });
         }
         for m in &messages {
             self.hear_wants(m.clone());
@@ -789,7 +809,7 @@
                     .wants
                     .iter()
                     .filter_map(|w| w.machines.get(&view.machine))
-                    .flat_map(|(_, tasks)| tasks)
+                    .flat_map(|m| &m.tasks)
                     .find(|w| w.index == t.index && w.attempt == t.attempt && w.job == t.job)
                     .map(|w| w.image.clone());
                 if let Some(image) = image {
@@ -818,8 +838,11 @@
         if self.complete() || self.fresh_parts() > 0 {
             return Haste::Now;
         }
-        let waited = self.lazy_since.is_none_or(|at| now.since(at) >= LAZY);
-        if waited { Haste::Later } else { Haste::None }
+        match self.lazy_since.map(|at| now.since(at)) {
+            Some(waited) if waited < LAZY => Haste::None,
+            Some(waited) if waited > OVERDUE => Haste::Now,
+            _ => Haste::Later,
+        }
     }
 
     /// How long a task of this job runs, once enough of them have completed.
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -7,7 +7,7 @@
 use super::place;
 use super::quota::{Amount, EPS};
 use super::slots::{Booked, PoolKey, Slot};
-use crate::peer::{Demand, Preempt};
+use crate::peer::{Demand, Phase, Preempt};
 use crate::time::Micros;
 use crate::wire::JobSpec;
 use std::collections::BTreeMap;
@@ -114,10 +114,13 @@
             if self.has_jobs_of(s) {
                 continue;
             }
-            let tasks = w.machines.get(name).map_or(&[][..], |(_, tasks)| tasks);
+            let tasks = w.machines.get(name).map_or(&[][..], |m| &m.tasks[..]);
             for t in tasks {
                 // Of another session: gone, and its seat will hear of it.
-                if t.session != v.session || over(&t.job, t.index, t.attempt) {
+                if t.session != v.session
+                    || t.phase() == Phase::Over
+                    || over(&t.job, t.index, t.attempt)
+                {
                     continue;
                 }
                 slot.book(Booked {
@@ -461,6 +464,7 @@
                 holders.push(at);
             }
             self.images.note(now, &spec.image, &machine, session);
+            self.dirty_wants.insert((s, Rc::clone(&machine)));
             self.by_machine.entry((s, machine)).or_default().insert((id.to_string(), index));
             self.dirty_jobs.insert(id.to_string());
         };
--- a/src/controller/quotas.rs
+++ b/src/controller/quotas.rs
@@ -2,7 +2,7 @@
 
 use super::quota::{self, EPS, Need};
 use super::{Controller, Op, seat};
-use crate::peer::{Preempt, QuotaNeed};
+use crate::peer::{Phase, Preempt, QuotaNeed, WantedTask};
 use crate::state::{StateCall, StateReply};
 use crate::time::Micros;
 use crate::wire::{Condition, Txn, Write};
@@ -145,8 +145,9 @@
         let (mut total, mut ours) = (0.0, 0.0);
         let mut victims: Vec<(f64, Preempt, f64)> = Vec::new();
         for (n, w) in self.wants.iter().enumerate() {
-            for (_, tasks) in w.machines.values() {
-                for t in tasks.iter().filter(|t| t.team == team) {
+            for m in w.machines.values() {
+                let counts = |t: &&WantedTask| t.team == team && t.phase() != Phase::Over;
+                for t in m.tasks.iter().filter(counts) {
                     if t.stop_ms.is_some() {
                         coming += t.cpus;
                     } else if t.rank > rank {
@@ -167,12 +168,7 @@
             }
         }
         // What other seats hold unused comes back by itself.
-        let used: f64 = (0..self.seats.len())
-            .flat_map(|n| self.wants[n].machines.values())
-            .flat_map(|(_, tasks)| tasks)
-            .filter(|t| t.team == team)
-            .map(|t| t.cpus)
-            .sum();
+        let used: f64 = self.wants.iter().filter_map(|w| w.usage.get(team)).map(|u| u[0]).sum();
         let unused = (q.limit[0] - used - coming).max(0.0);
         let missing = urgent - coming - unused;
         if missing <= EPS || total <= EPS {
--- a/src/controller/seats.rs
+++ b/src/controller/seats.rs
@@ -214,7 +214,7 @@
             .wants
             .iter()
             .flat_map(|w| w.machines.iter())
-            .filter(|(_, (_, tasks))| !tasks.is_empty())
+            .filter(|(_, m)| !m.tasks.is_empty())
             .map(|(m, _)| m.clone())
             .filter(|m| self.seat_of_machine(m) == s)
             .collect();
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -64,6 +64,23 @@
     /// Time of day at which it was placed, in seconds.
     #[prost(uint64, tag = "14")]
     pub placed_s: u64,
+    /// See [`Phase`]. Only what is surely written down may be started, so a
+    /// word of a later version must not read as that: it reads as `Ahead`.
+    #[prost(enumeration = "Phase", tag = "15")]
+    pub phase: i32,
+}
+
+/// How far a wanted task is, by its owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Phase {
+    /// Decided and not written down yet: its room is booked, it is not started.
+    Ahead = 0,
+    /// Written down: to be started, or to go on.
+    Wanted = 1,
+    /// Its attempt has ended, which is not written down yet: it is not started
+    /// again, and what is listed of it is kept.
+    Over = 2,
 }
 
 /// All that a seat wants on one machine.
@@ -95,6 +112,11 @@
     /// The machines.
     #[prost(message, repeated, tag = "5")]
     pub machines: Vec<MachineWants>,
+    /// Terms of all seats, by number, as the sender knew them. What it had
+    /// concluded from views under earlier terms is in the message, so a
+    /// machine's seat starts nothing of it under a later term than the named.
+    #[prost(uint64, repeated, tag = "6")]
+    pub terms: Vec<u64>,
 }
 
 /// A task on a machine, as the machine's seat knows it.
--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -53,6 +53,8 @@
     pub held: f64,
     /// The cloud takes these machines at that time.
     pub taken: Vec<(u64, usize)>,
+    /// Changes a second that the state service takes, if that is little.
+    pub writes: Option<f64>,
     /// Workers on which every task fails.
     pub sick: BTreeSet<usize>,
 }
@@ -153,7 +155,7 @@
     pub starts: u64,
 }
 
-fn settings(node: usize) -> Config {
+fn settings(node: usize, writes: f64) -> Config {
     let peers: String = (0..3)
         .filter(|n| *n != node)
         .map(|n| format!("[[peers]]\nmember = \"n{n}\"\naddress = \"10.0.0.{n}:81\"\n"))
@@ -180,7 +182,7 @@
 cancel_s = {CANCEL_S}
 [settings.state]
 rps = 1000.0
-write_rps = 1000.0
+write_rps = {writes}
 value_kb = 8.0
 txn_ops = 8
 [settings.cloud]
@@ -202,7 +204,7 @@
             now: Micros::secs(1),
             seq: 0,
             queue: BTreeMap::new(),
-            config: (0..3).map(settings).collect(),
+            config: (0..3).map(|n| settings(n, troubles.writes.unwrap_or(1_000.0))).collect(),
             nodes: vec![None, None, None],
             store: Store::default(),
             cloud: Cloud::default(),
--- a/tests/three_controllers.rs
+++ b/tests/three_controllers.rs
@@ -73,6 +73,17 @@
                 ..Troubles::default()
             },
         ),
+        (
+            // What one holder of a seat refused, and the owner gave up, waits
+            // to be written while the seat changes hands.
+            "few writes and seats that move",
+            Troubles {
+                writes: Some(8.0),
+                crashes: vec![(18, 1), (34, 1), (52, 1), (70, 1)],
+                back_ms: 200,
+                ..Troubles::default()
+            },
+        ),
     ];
     for (name, troubles) in table {
         // Seed 72 is the one of forty that shows a task taken for gone on the
