Hold room for what goes first only; count what stays for guarantees

Ruled out: limits, fetches, writes.

Holds follow the order of the queue. That alone let guarantees and priorities stop each other's work without end (9,000 stops in 10 s): tasks that are stopping count no more against a team, each node stops its part of what a team has beyond its guarantee in a second, and more urgent work never yields to a guarantee.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -343,6 +343,11 @@
     sync_peers: BTreeSet<usize>,
     place_wanted: bool,
     placed_at: Micros,
+    /// CPUs that may still be stopped of a team's tasks beyond its guarantee.
+    may_give: BTreeMap<String, f64>,
+    /// CPUs that may still be claimed by stopping others within a guarantee.
+    may_claim: BTreeMap<String, f64>,
+    guarantees_at: Micros,
     beat_at: Micros,
     tend_at: Micros,
     demand_at: Micros,
@@ -426,6 +431,9 @@
             sync_peers: BTreeSet::new(),
             place_wanted: false,
             placed_at: Micros::ZERO,
+            may_give: BTreeMap::new(),
+            may_claim: BTreeMap::new(),
+            guarantees_at: Micros::ZERO,
             beat_at: Micros::ZERO,
             tend_at: Micros::ZERO,
             demand_at: Micros::ZERO,
@@ -493,6 +501,10 @@
             self.tend_posts();
             self.tend_jobs();
             self.tend_asked();
+            if self.now >= self.guarantees_at {
+                self.guarantees_at = self.now + Micros::secs(1);
+                self.tend_guarantees();
+            }
             self.place_wanted = true;
         }
         if self.now >= self.quota_at {
@@ -502,6 +514,7 @@
         if self.now >= self.refusals_at {
             self.refusals_at = self.now + REFUSALS_EVERY;
             self.log_refusals();
+            self.log_waiting();
         }
         self.tend_fleet();
     }
@@ -847,11 +860,25 @@
         })
     }
 
+    /// Tells the log how many tasks wait for what.
+    fn log_waiting(&self) {
+        if !log::log_enabled!(log::Level::Debug) {
+            return;
+        }
+        let mut counts: BTreeMap<(&str, &str, &str), u32> = BTreeMap::new();
+        for j in self.jobs.values().filter(|j| !j.cancelled && !j.over && j.pending() > 0) {
+            *counts.entry((&j.spec.class, &j.spec.team, j.waits)).or_default() += j.pending();
+        }
+        for ((class, team, reason), tasks) in counts {
+            log::debug!("{tasks} tasks of {class}, team {team}, wait: {reason}");
+        }
+    }
+
     /// The queue as plain text: in order of service, each with why it waits.
     pub fn queue_page(&self, _now: Micros) -> String {
         use std::fmt::Write;
         let mut page = String::from("job class team priority waiting running done reason\n");
-        for id in self.queue_order() {
+        for (_, id) in self.queue_order() {
             if let Some(j) = self.jobs.get(&id) {
                 // Writing into a String cannot fail.
                 let _ = writeln!(
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -28,20 +28,19 @@
 impl Controller {
     /// Own jobs in order of service: teams within their guarantee first, then
     /// priority, deadline and age.
-    pub(super) fn queue_order(&self) -> Vec<String> {
-        let used = self.team_usage();
+    pub(super) fn queue_order(&self) -> Vec<((bool, u32), String)> {
+        let used = self.slots.usage();
         let mut order: Vec<_> = self
             .jobs
             .iter()
             .filter(|(_, j)| !j.cancelled && !j.over && j.pending() > 0)
             .map(|(id, j)| {
-                let beyond =
-                    !self.within_guarantee(&used, &j.spec.team, [j.spec.cpus, j.spec.gpus]);
+                let beyond = !self.within_guarantee(used, &j.spec.team, [j.spec.cpus, j.spec.gpus]);
                 (beyond, j.rank(), j.due(), j.accepted, id.clone())
             })
             .collect();
         order.sort();
-        order.into_iter().map(|(.., id)| id).collect()
+        order.into_iter().map(|(beyond, rank, .., id)| ((beyond, rank), id)).collect()
     }
 
     fn within_guarantee(&self, used: &BTreeMap<String, Amount>, team: &str, more: Amount) -> bool {
@@ -52,30 +51,6 @@
         [0, 1].iter().all(|r| more[*r] < EPS || used[*r] + more[*r] <= quota.guarantee[*r] + EPS)
     }
 
-    /// What each team's tasks of all seats use, as far as heard.
-    pub(super) fn team_usage(&self) -> BTreeMap<String, Amount> {
-        let mut used: BTreeMap<String, Amount> = BTreeMap::new();
-        for (s, w) in self.wants.iter().enumerate() {
-            if self.has_jobs_of(s) {
-                continue;
-            }
-            for (team, amount) in &w.usage {
-                let u = used.entry(team.clone()).or_default();
-                u[0] += amount[0];
-                u[1] += amount[1];
-            }
-        }
-        for j in self.jobs.values() {
-            let n = f64::from(j.booked());
-            if n > 0.0 {
-                let u = used.entry(j.spec.team.clone()).or_default();
-                u[0] += n * j.spec.cpus;
-                u[1] += n * j.spec.gpus;
-            }
-        }
-        used
-    }
-
     /// What a seat's tasks of a team use: from write-ahead until known gone.
     pub(super) fn seat_usage(&self, s: usize, team: &str) -> Amount {
         let mut used = [0.0, 0.0];
@@ -237,30 +212,25 @@
         let blocked: Vec<Demand> =
             theirs.iter().chain(&ours).filter(|d| !self.slots.takes(d)).cloned().collect();
         let mut pass = Pass {
-            usage: self.team_usage(),
+            usage: self.slots.usage().clone(),
             blocked,
             failed: Vec::new(),
             left: PASS_TASKS,
             searches: PASS_SEARCHES,
         };
-        for id in order {
+        theirs.sort_by_key(Demand::turn);
+        for (turn, id) in order {
             if pass.left == 0 || self.waiting_parts() >= self.part_backlog() {
                 self.place_wanted = true;
                 break;
             }
-            let Some(rank) = self.jobs.get(&id).map(Job::rank) else {
-                continue;
-            };
             // What waits at the peers and is more urgent gets its room first:
             // taken by this job, it would only be taken back by preemption.
-            let slots = &mut self.slots;
-            theirs.retain(|d| {
-                let first = d.rank < rank;
-                if first {
-                    slots.hold(d);
-                }
-                !first
-            });
+            // Equals hold nothing for each other, or nobody would move.
+            let first = theirs.partition_point(|d| d.turn() < turn);
+            for d in theirs.drain(..first) {
+                self.slots.hold(&d);
+            }
             self.place_job(&id, &mut pass);
         }
         self.slots.release_holds();
@@ -372,6 +342,7 @@
                 pass.failed.push(Failed::new(&spec, None));
             }
             let mut victims = Vec::new();
+            let mut claims = false;
             // Nobody with room has the image: a holder on which less urgent
             // tasks make room starts the task sooner.
             let for_image = hurried && holder.is_none() && chosen.is_some();
@@ -379,7 +350,9 @@
                 let entitled =
                     self.within_guarantee(&pass.usage, &spec.team, [spec.cpus, spec.gpus]);
                 let stops = Some((rank, entitled.then(|| spec.team.clone()), for_image));
+                let claimed = entitled && self.may_claim.get(&spec.team).is_none_or(|c| *c <= 0.0);
                 let hopeless = pass.searches == 0
+                    || claimed
                     || (!entitled && self.slots.below(rank) == 0)
                     || pass.failed.iter().any(|f| f.stops == stops && f.covers(&spec));
                 let found = if hopeless {
@@ -387,7 +360,7 @@
                 } else {
                     pass.searches -= 1;
                     let only = for_image.then_some(&holders[..]);
-                    let found = self.make_room(job, &pools, &pass.usage, entitled, only, passes);
+                    let found = self.make_room(job, &pools, entitled, only, passes);
                     if found.is_none() && plain {
                         pass.failed.push(Failed::new(&spec, stops));
                     }
@@ -396,6 +369,7 @@
                 if let Some((at, list)) = found {
                     chosen = Some(at);
                     victims = list;
+                    claims = entitled;
                 }
             }
             let Some(at) = chosen else {
@@ -419,7 +393,13 @@
                         stopped.push(b.clone());
                     }
                 });
+                if claims && let Some(claim) = self.may_claim.get_mut(&spec.team) {
+                    *claim -= spec.cpus;
+                }
                 for b in stopped {
+                    if let Some(left) = self.may_give.get_mut(&b.team) {
+                        *left -= b.amount[0];
+                    }
                     let u = pass.usage.entry(b.team.clone()).or_default();
                     u[0] -= b.amount[0];
                     u[1] -= b.amount[1];
@@ -489,7 +469,6 @@
         &self,
         job: &Job,
         pools: &[usize],
-        usage: &BTreeMap<String, Amount>,
         entitled: bool,
         only: Option<&[usize]>,
         passes: impl Fn(usize, &Slot) -> bool,
@@ -501,10 +480,13 @@
             .quotas
             .keys()
             .map(String::as_str)
-            .filter(|t| entitled && *t != spec.team && !self.within_guarantee(usage, t, [0.0, 0.0]))
+            .filter(|t| self.may_give.get(*t).is_some_and(|left| *left > EPS))
             .collect();
-        let gives =
-            |b: &Booked| !b.stopping && (b.rank > rank || beyond.iter().any(|t| *t == b.team));
+        // More urgent work never gives way, or it would take the room back.
+        let gives = |b: &Booked| {
+            let borrows = entitled && b.team != spec.team && beyond.iter().any(|t| *t == b.team);
+            !b.stopping && (b.rank > rank || (borrows && b.rank == rank))
+        };
         let too_slow = self.fetch_too_slow(job);
         let mut best: Option<(f64, usize, Vec<usize>)> = None;
         let all = self.slots.iter().map(|(id, _, slot)| (id, slot));
@@ -538,6 +520,7 @@
                 .collect();
             order.sort_by(|x, y| x.0.total_cmp(&y.0).then(y.1.cmp(&x.1)).then(x.2.cmp(&y.2)));
             let mut victims = Vec::new();
+
             for (loss, _, i) in order {
                 if fits(&free, &need) > 0 {
                     break;
@@ -574,6 +557,25 @@
         }
     }
 
+    /// Works out what may be stopped in the coming second for the sake of
+    /// guarantees: this node's part of what teams use beyond theirs, and of what
+    /// others lack. All nodes stopping the whole of it would stop it several
+    /// times over, and then the other way round.
+    pub(super) fn tend_guarantees(&mut self) {
+        if !self.acting() {
+            return;
+        }
+        self.refresh_slots();
+        let nodes = self.seats.len().max(1) as f64;
+        for (team, q) in &self.quotas {
+            let used = self.slots.usage().get(team).map_or(0.0, |u| u[0]);
+            let beyond = (used - q.guarantee[0]).max(0.0);
+            let lacks = (q.guarantee[0] - used).max(0.0);
+            self.may_give.insert(team.clone(), beyond / nodes);
+            self.may_claim.insert(team.clone(), lacks / nodes);
+        }
+    }
+
     /// Lets go of requests to make room that nobody has heeded.
     pub(super) fn tend_asked(&mut self) {
         let now = self.now;
@@ -637,10 +639,10 @@
 
     /// Waiting tasks by shape, as far as their teams' limits let them run.
     pub(super) fn demand(&self) -> Vec<Demand> {
-        let usage = self.team_usage();
+        let usage = self.slots.usage();
         let mut room: BTreeMap<&str, Amount> = BTreeMap::new();
         let mut list: Vec<Demand> = Vec::new();
-        for id in self.queue_order() {
+        for ((beyond, rank), id) in self.queue_order() {
             let Some(j) = self.jobs.get(&id).filter(|j| self.now >= j.not_before) else {
                 continue;
             };
@@ -667,7 +669,8 @@
                 types: spec.types.clone().unwrap_or_default(),
                 zone: spec.zone.clone(),
                 spot: spec.spot,
-                rank: j.rank(),
+                rank,
+                beyond,
             };
             match list.iter_mut().find(|d| Demand { tasks, ..(*d).clone() } == one) {
                 Some(same) => same.tasks += tasks,
--- a/src/controller/slots.rs
+++ b/src/controller/slots.rs
@@ -6,9 +6,10 @@
 //! placement does not walk the fleet.
 
 use super::fleet::{allows, fits};
+use super::quota::Amount;
 use crate::peer::Demand;
 use crate::time::Micros;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
 /// Ranks of service that are told apart.
@@ -115,6 +116,8 @@
     spare: Vec<usize>,
     /// Booked tasks by rank that are not stopping.
     ranks: [u32; RANKS],
+    /// What teams' booked tasks use that are not stopping.
+    usage: BTreeMap<String, Amount>,
     /// Slots on which room is held.
     holds: Vec<usize>,
 }
@@ -160,6 +163,10 @@
         pool.by_free.remove(&slot.free_key(id));
         for b in slot.tasks.iter().filter(|b| !b.stopping) {
             self.ranks[(b.rank as usize).min(RANKS - 1)] -= 1;
+            if let Some(u) = self.usage.get_mut(&b.team) {
+                u[0] -= b.amount[0];
+                u[1] -= b.amount[1];
+            }
         }
     }
 
@@ -169,6 +176,13 @@
         };
         for b in slot.tasks.iter().filter(|b| !b.stopping) {
             self.ranks[(b.rank as usize).min(RANKS - 1)] += 1;
+            if !self.usage.contains_key(&b.team) {
+                self.usage.insert(b.team.clone(), Amount::default());
+            }
+            if let Some(u) = self.usage.get_mut(&b.team) {
+                u[0] += b.amount[0];
+                u[1] += b.amount[1];
+            }
         }
         // A full machine is of no use to any placement.
         if slot.free[0] > 1e-6 {
@@ -288,6 +302,13 @@
         .map(|key| key.3)
     }
 
+    /// What teams' tasks use that are there to stay: those that are stopping
+    /// would be counted against a team until they are gone, and more of its
+    /// tasks stopped for it.
+    pub fn usage(&self) -> &BTreeMap<String, Amount> {
+        &self.usage
+    }
+
     /// Booked tasks less urgent than a rank that are not stopping.
     pub fn below(&self, rank: u32) -> u32 {
         self.ranks.iter().skip(rank as usize + 1).sum()
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -276,6 +276,16 @@
     /// Rank of service.
     #[prost(uint32, tag = "8")]
     pub rank: u32,
+    /// Its team uses its whole guarantee, so that others go first.
+    #[prost(bool, tag = "9")]
+    pub beyond: bool,
+}
+
+impl Demand {
+    /// Order of service, as in a seat's queue.
+    pub fn turn(&self) -> (bool, u32) {
+        (self.beyond, self.rank)
+    }
 }
 
 /// What a seat lacks of a team's limit.
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -603,6 +603,7 @@
         zone: zone.map(String::from),
         spot,
         rank: 2,
+        beyond: false,
     };
     let room = |cpus: f64, spot| Room {
         machine_type: "small".into(),
