Leave new room to its machine's seat for a moment; holders win while packing

Room that comes up on another node's machine is taken 250 ms later; a job waits only after 16 refusals without a start; while packing, a holder wins within the slack counted in room.

--- a/src/controller/job.rs
+++ b/src/controller/job.rs
@@ -290,6 +290,8 @@
     pub busy: bool,
     /// Nothing is written or placed before this.
     pub not_before: Micros,
+    /// Starts refused since one began to run.
+    pub refused: u32,
     /// Failures in a row, over all machines.
     pub failures: u32,
     /// Machines on which its tasks failed.
@@ -325,6 +327,7 @@
             over: false,
             busy: false,
             not_before: Micros::ZERO,
+            refused: 0,
             failures: 0,
             avoid: BTreeSet::new(),
             waits: "new",
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -18,6 +18,8 @@
 const PARTS_PER_TXN: usize = 4;
 /// Writes of tasks under way at once. What changes meanwhile is written together.
 const STORES: usize = 3;
+/// Refusals without a start between them after which a job waits a little.
+const REFUSED_IN_A_ROW: u32 = 16;
 /// Ends of tasks that have waited for longer are written like starts.
 const OVERDUE: Micros = Micros::secs(10);
 /// How long ends of tasks may wait for others to be written with.
@@ -100,6 +102,7 @@
                             p.running_since = Some(began);
                             let took = took.as_millis();
                             log::debug!("task {id}/{index} runs on {machine} after {took} ms");
+                            job.refused = 0;
                         }
                         self.dirty_progress.insert(id.to_string());
                     }
@@ -287,7 +290,12 @@
                     job.not_before = now + Micros::secs(wait);
                 }
             }
-            Seen::Refused => job.not_before = job.not_before.max(now + Micros::millis(100)),
+            Seen::Refused => {
+                job.refused += 1;
+                if job.refused >= REFUSED_IN_A_ROW {
+                    job.not_before = job.not_before.max(now + Micros::millis(100));
+                }
+            }
             _ => {}
         }
         job.lazy_since.get_or_insert(now);
@@ -343,6 +351,8 @@
         }
         let now = self.now;
         let level = self.puts.level(now);
+        // Users wait for their acceptances, which are asked for meanwhile.
+        let accepting = if self.submissions > 0 { self.puts.burst() / 4.0 } else { 0.0 };
         let mut order: Vec<(Haste, u32, Micros, String)> = Vec::new();
         for id in &self.dirty_jobs {
             let Some(job) = self.jobs.get(id) else {
@@ -361,8 +371,8 @@
             // What waits here joins the next write; in the queue of calls it
             // would be written as it was.
             let least = match haste {
-                Haste::Now => 1.0,
-                _ => 1.0 + self.puts.burst() / 2.0,
+                Haste::Now => 1.0 + accepting,
+                _ => 1.0 + accepting + self.puts.burst() / 2.0,
             };
             if self.stores >= STORES || level.min(self.puts.level(now)) < least {
                 return;
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -15,6 +15,8 @@
 
 /// Least time between two passes: what happens meanwhile is dealt with together.
 const PASS: Micros = Micros::millis(40);
+/// How long room that comes up on a machine is left to its own seat.
+const SETTLE: Micros = Micros::millis(250);
 /// Placements in one pass.
 const PASS_TASKS: usize = 200;
 /// Searches in one pass for tasks that make room; each walks the fleet.
@@ -183,7 +185,15 @@
             }
         }
         for machine in std::mem::take(&mut self.dirty_slots) {
-            let slot = self.slot_of(&machine);
+            let mut slot = self.slot_of(&machine);
+            if let Some((_, new)) = slot.as_mut().filter(|(_, s)| s.foreign) {
+                let old = self.slots.id(&machine).and_then(|id| self.slots.get(id));
+                let more = old.is_none_or(|old| new.free[0] > old.free[0] + EPS);
+                new.settled = match old {
+                    Some(old) if !more => old.settled,
+                    _ => self.now + SETTLE,
+                };
+            }
             self.slots.set(&machine, slot);
         }
     }
@@ -311,13 +321,15 @@
             if pass.left == 0 {
                 break "the next pass";
             }
-            let suits = |_: usize, m: &Slot| {
-                !job.avoid.contains(&m.machine) && !self.lists(&m.machine, id, index)
+            let suits = |m: &Slot| {
+                m.settled <= now
+                    && !job.avoid.contains(&m.machine)
+                    && !self.lists(&m.machine, id, index)
             };
             let narrow = spec.one_zone || spec.spread;
             let passes = |at: usize, m: &Slot| {
                 let zone = || self.slots.pool_of(at).map_or("", |k| &k.zone);
-                (!narrow || job.zone_allows(&zones, zone())) && suits(at, m)
+                (!narrow || job.zone_allows(&zones, zone())) && suits(m)
             };
             let known_full = pass.failed.iter().any(|f| f.stops.is_none() && f.covers(&spec));
             let free = if known_full {
@@ -328,13 +340,19 @@
                 self.slots.freest(&pools, &need, passes)
             };
             let holder = match free {
-                Some(_) if !pack => self.slots.least(holders.iter(), &pools, &need, passes),
-                _ => None,
+                Some(_) if pack => self.slots.tightest(holders.iter(), &pools, &need, passes),
+                Some(_) => self.slots.least(holders.iter(), &pools, &need, passes),
+                None => None,
             };
             let mut chosen = match (free, holder) {
                 (Some(f), Some(h)) => {
-                    let booked = |at: usize| self.slots.get(at).map_or(0, |s| s.tasks.len() as u32);
-                    Some(if place::holder_wins(booked(f), booked(h), slack) { h } else { f })
+                    // Packing, room counts instead of tasks, in tasks of this job.
+                    let count = |at: usize| {
+                        self.slots.get(at).map_or(0, |s| {
+                            if pack { fits(&s.free, &need) } else { s.tasks.len() as u32 }
+                        })
+                    };
+                    Some(if place::holder_wins(count(f), count(h), slack) { h } else { f })
                 }
                 (free, _) => free,
             };
--- a/src/controller/slots.rs
+++ b/src/controller/slots.rs
@@ -69,6 +69,9 @@
     pub foreign: bool,
     /// CPUs, GPUs, memory that nothing is booked on.
     pub free: [f64; 3],
+    /// Until when room that came up here is left to the controller that commands
+    /// the machine: taken by several at once it would go to one of them.
+    pub settled: Micros,
     /// Room kept in this pass for more urgent tasks of other seats.
     pub held: [f64; 3],
     /// What is booked.
@@ -78,7 +81,8 @@
 impl Slot {
     /// A machine with nothing booked.
     pub fn new(machine: Rc<str>, session: u64, foreign: bool, size: [f64; 3]) -> Slot {
-        Slot { machine, session, foreign, free: size, held: [0.0; 3], tasks: Vec::new() }
+        let (settled, held) = (Micros::ZERO, [0.0; 3]);
+        Slot { machine, session, foreign, free: size, settled, held, tasks: Vec::new() }
     }
 
     /// Books a task.
@@ -309,6 +313,23 @@
         &self.usage
     }
 
+    /// Of some machines the one with the least free CPUs that has room.
+    pub fn tightest<'a>(
+        &self,
+        ids: impl Iterator<Item = &'a usize>,
+        pools: &[usize],
+        need: &[f64; 3],
+        pass: impl Fn(usize, &Slot) -> bool,
+    ) -> Option<usize> {
+        ids.filter_map(|id| {
+            let (pool, s) = self.slots.get(*id)?.as_ref()?;
+            let good = pools.contains(pool) && fits(&s.room(), need) > 0 && pass(*id, s);
+            good.then(|| s.free_key(*id))
+        })
+        .min()
+        .map(|key| key.1)
+    }
+
     /// Booked tasks less urgent than a rank that are not stopping.
     pub fn below(&self, rank: u32) -> u32 {
         self.ranks.iter().skip(rank as usize + 1).sum()
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -207,6 +207,8 @@
         assert_eq!(least, freest, "step {step}");
         let fullest = best(slots.fullest(&pools, &need, |_, _| true)).map(|s| s.free[0]);
         assert_eq!(fullest, open.iter().map(|s| s.free[0]).reduce(f64::min), "step {step}");
+        let tightest = best(slots.tightest(ids.iter(), &pools, &need, |_, _| true));
+        assert_eq!(tightest.map(|s| s.free[0]), fullest, "step {step}");
         let tasks = || plain.values().flat_map(|(_, s)| &s.tasks).filter(|b| !b.stopping);
         assert_eq!(slots.below(1) as usize, tasks().filter(|b| b.rank > 1).count());
         assert_eq!((slots.len(), slots.is_empty()), (plain.len(), plain.is_empty()));
