--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -10,6 +10,8 @@
 use serde_json::json;
 use std::rc::Rc;
 
+/// How long after a submission others are expected.
+const ACCEPTING: Micros = Micros::millis(500);
 /// Changes that an acceptance makes.
 const ACCEPT_PUTS: usize = 2;
 /// Seconds for which users wait, with some left for the way.
@@ -185,6 +187,7 @@
             ],
         };
         self.submissions += 1;
+        self.accepting_until = self.now + ACCEPTING;
         self.state(
             Op::Submit { ticket, spec, seat, term: mine.term, accepted },
             StateCall::Txn(txn),
@@ -391,6 +394,8 @@
                     "job {} accepted: {} tasks of {}, team {}",
                     spec.id, spec.tasks, spec.class, spec.team
                 );
+                let took = self.wall().since(accepted).as_millis();
+                log::debug!("job {} was written {took} ms after it had come", spec.id);
                 self.counts.accepted += 1;
                 let known = Known { stage: StoredStage::Accepted, seat, tasks: spec.tasks };
                 self.note_known(&spec.id, known);
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -298,6 +298,8 @@
     by_machine: BTreeMap<(usize, Rc<str>), TaskSet>,
     part_size: job::PartSize,
     submissions: usize,
+    /// Submissions came a moment ago: more may, and writes leave them a share.
+    accepting_until: Micros,
 
     wants: Vec<HeardWants>,
     slots: slots::Slots,
@@ -393,6 +395,7 @@
             by_machine: BTreeMap::new(),
             part_size: job::PartSize::new(config.settings.state.value_kb),
             submissions: 0,
+            accepting_until: Micros::ZERO,
             wants: vec![HeardWants::default(); count],
             slots: slots::Slots::default(),
             dirty_slots: BTreeSet::new(),
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -18,9 +18,9 @@
 /// How long room that comes up on a machine is left to its own seat.
 const SETTLE: Micros = Micros::millis(250);
 /// Placements in one pass.
-const PASS_TASKS: usize = 200;
+const PASS_TASKS: usize = 64;
 /// Searches in one pass for tasks that make room; each walks the fleet.
-const PASS_SEARCHES: usize = 24;
+const PASS_SEARCHES: usize = 8;
 
 /// How long a request to make room stands.
 const ASKED: Micros = Micros::secs(1);
@@ -502,8 +502,8 @@
             .collect();
         // More urgent work never gives way, or it would take the room back.
         let gives = |b: &Booked| {
-            let borrows = entitled && b.team != spec.team && beyond.iter().any(|t| *t == b.team);
-            !b.stopping && (b.rank > rank || (borrows && b.rank == rank))
+            let borrows = || b.team != spec.team && beyond.iter().any(|t| *t == b.team);
+            !b.stopping && (b.rank > rank || (entitled && b.rank == rank && borrows()))
         };
         let too_slow = self.fetch_too_slow(job);
         let mut best: Option<(f64, usize, Vec<usize>)> = None;
