--- a/src/controller/holder.rs
+++ b/src/controller/holder.rs
@@ -5,7 +5,7 @@
 use super::quota::EPS;
 use super::seat::DRIFT;
 use super::{Controller, DirectReply, Effect, HeardWants, MachineHeard, Op, Ticket};
-use crate::peer::{Frame, Heard, MachineView, Phase, SeatWants, Seen, WantedTask};
+use crate::peer::{Frame, Heard, Hint, MachineView, Phase, SeatWants, Seen, WantedTask};
 use crate::time::Micros;
 use crate::wire::{Command, DirectCommands, Refusal, Report, ReportReply, ReportTo};
 use log::{debug, info, warn};
@@ -15,6 +15,10 @@
 const LEASE_MARGIN: Micros = Micros::millis(1_000);
 /// Failures of different jobs in a row after which a machine is set aside.
 const MACHINE_FAULTY: u32 = 3;
+/// Machines asked in one turn how they stand, so that a take starves nobody.
+const HELLOS: usize = 16;
+/// Hints kept at most.
+const MAX_HINTS: usize = 10_000;
 /// Longest names that fit a stored placement.
 const MAX_NAME: usize = 40;
 
@@ -363,6 +367,57 @@
         self.out.push(Effect::Direct { id, address, body });
     }
 
+    /// A peer tells where a machine was when it last knew of it.
+    pub(super) fn hear_hint(&mut self, hint: Hint) {
+        let known = self.posts.get(&hint.machine).is_some_and(|p| p.heard.is_some());
+        if known
+            || self.gone.contains(&hint.machine)
+            || hint.machine.len() > MAX_NAME
+            || self.hints.len() >= MAX_HINTS
+        {
+            return;
+        }
+        if let Ok(address) = hint.address.parse() {
+            self.hints.insert(hint.machine.clone(), (hint.session, address));
+            self.hellos.insert(hint.machine);
+        }
+    }
+
+    /// Asks machines of a seat that was just taken how they stand, by commands
+    /// that order nothing. They would report within their period only, and a
+    /// second time under the new term before anything may be sent to them.
+    pub(super) fn send_hellos(&mut self) {
+        if !self.acting() {
+            return;
+        }
+        let mut sent = 0;
+        while sent < HELLOS
+            && let Some(machine) = self.hellos.pop_first()
+        {
+            let s = self.seat_of_machine(&machine);
+            let Some(term) = self.my_term(s) else {
+                // Kept among the hints until the seat is taken.
+                continue;
+            };
+            let Some((session, address)) = self.hints.remove(&machine) else {
+                continue;
+            };
+            if self.gone.contains(&machine) {
+                continue;
+            }
+            let post = self.posts.entry(machine.clone()).or_default();
+            if post.known || post.heard.is_some() || post.direct_busy {
+                continue;
+            }
+            post.direct_busy = true;
+            let body = DirectCommands { token: term, session, commands: Vec::new() };
+            let body = serde_json::to_vec(&body).unwrap_or_default();
+            let id = self.call_id(Op::Direct { machine, starts: Vec::new(), term });
+            self.out.push(Effect::Direct { id, address, body });
+            sent += 1;
+        }
+    }
+
     pub(super) fn direct_reply(
         &mut self,
         machine: &str,
--- a/src/controller/job.rs
+++ b/src/controller/job.rs
@@ -298,8 +298,10 @@
     pub avoid: BTreeSet<Rc<str>>,
     /// Why it waits, for the queue page.
     pub waits: &'static str,
-    /// Run times of its completed tasks.
+    /// Run times of its first completed tasks, in order.
     pub run_times: Vec<Micros>,
+    /// Their median, once there are a few.
+    pub usual: Option<Micros>,
 }
 
 impl Job {
@@ -332,6 +334,7 @@
             avoid: BTreeSet::new(),
             waits: "new",
             run_times: Vec::new(),
+            usual: None,
         }
     }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -315,6 +315,12 @@
     views: BTreeMap<String, MachineView>,
     posts: BTreeMap<String, Post>,
     gone: BTreeSet<String>,
+    /// Where machines were last known to be that have not been heard here.
+    hints: BTreeMap<String, (u64, SocketAddrV4)>,
+    /// Machines of own seats to be asked how they stand.
+    hellos: BTreeSet<String>,
+    /// Machines kept free of small tasks until a large one fits.
+    reserved: BTreeSet<Rc<str>>,
     draining: BTreeSet<String>,
     estimates: estimate::Estimates,
     images: ImageIndex,
@@ -409,6 +415,9 @@
             views: BTreeMap::new(),
             posts: BTreeMap::new(),
             gone: BTreeSet::new(),
+            hints: BTreeMap::new(),
+            hellos: BTreeSet::new(),
+            reserved: BTreeSet::new(),
             draining: BTreeSet::new(),
             estimates: estimate::Estimates::default(),
             images: ImageIndex::new(options.index_entries, options.index_age),
@@ -499,6 +508,7 @@
 
     fn tick(&mut self) {
         self.tend_seats();
+        self.send_hellos();
         if self.now >= self.tend_at {
             self.tend_at = self.now + Micros::millis(250);
             self.tend_posts();
@@ -507,6 +517,7 @@
             if self.now >= self.guarantees_at {
                 self.guarantees_at = self.now + Micros::secs(1);
                 self.tend_guarantees();
+                self.reserve_for_large();
             }
             self.place_wanted = true;
         }
@@ -669,6 +680,9 @@
         for t in frame.preempt {
             self.give_way(&t);
         }
+        for h in frame.hints {
+            self.hear_hint(h);
+        }
     }
 
     fn send_frames(&mut self, mut frame: Frame) {
@@ -769,6 +783,16 @@
             .iter()
             .map(|(id, j)| peer::Progress { job: id.clone(), done: j.done(), running: j.running() })
             .collect();
+        frame.hints = self
+            .views
+            .values()
+            .filter(|v| !self.posts.contains_key(&v.machine) && !v.address.is_empty())
+            .map(|v| peer::Hint {
+                machine: v.machine.clone(),
+                session: v.session,
+                address: v.address.clone(),
+            })
+            .collect();
         frame.gone = self.gone.iter().rev().take(500).cloned().collect();
         frame
     }
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -1,6 +1,7 @@
 //! The jobs of this process's seats: what became of their tasks, what is
 //! written down, and what is therefore wanted on machines.
 
+use super::estimate::Estimates;
 use super::job::{self, Job, JobRecord, Placement, StoredStage};
 use super::seat;
 use super::{Controller, Known, Op};
@@ -270,9 +271,7 @@
                     if estimate > 0.0 {
                         self.estimates.learn(&job.spec.class, ran.as_secs_f64() / estimate);
                     }
-                    if job.run_times.len() < 64 {
-                        job.run_times.push(ran);
-                    }
+                    job.note_run(ran);
                 }
             }
             Seen::Failed => {
@@ -700,6 +699,7 @@
                 continue;
             };
             let (spec, rank) = (Rc::clone(&job.spec), job.rank());
+            let expected_s = expected_s(job, &self.estimates);
             let Some(part) = job.part_of(index) else {
                 continue;
             };
@@ -720,6 +720,7 @@
                 checkpoint_s: spec.checkpoint_s,
                 placed_s: p.at.0 / 1_000_000,
                 phase: phase as i32,
+                expected_s,
             };
             // Nothing is asked for before it is written down: a start that
             // nobody remembers could run beside the next one. Its room is
@@ -837,6 +838,15 @@
     }
 }
 
+/// Seconds that a job's tasks are expected to run: what its completed ones
+/// took, or its owner's estimate, corrected.
+pub(super) fn expected_s(job: &Job, estimates: &Estimates) -> f64 {
+    match job.usual_run() {
+        Some(run) => run.as_secs_f64(),
+        None => job.spec.estimate_s * estimates.correction(&job.spec.class),
+    }
+}
+
 impl Job {
     fn haste(&self, now: Micros) -> Haste {
         if self.cancelled && !self.over {
@@ -857,11 +867,18 @@
 
     /// How long a task of this job runs, once enough of them have completed.
     pub fn usual_run(&self) -> Option<Micros> {
-        if self.run_times.len() < 3 {
-            return None;
+        self.usual
+    }
+
+    /// A task of it has run for so long.
+    fn note_run(&mut self, ran: Micros) {
+        if self.run_times.len() >= 64 {
+            return;
+        }
+        let at = self.run_times.partition_point(|t| *t <= ran);
+        self.run_times.insert(at, ran);
+        if self.run_times.len() >= 3 {
+            self.usual = Some(self.run_times[self.run_times.len() / 2]);
         }
-        let mut times = self.run_times.clone();
-        times.sort_unstable();
-        Some(times[times.len() / 2])
     }
 }
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -4,6 +4,7 @@
 use super::fleet::fits;
 use super::job::Job;
 use super::machine::Key;
+use super::owner::expected_s;
 use super::place;
 use super::quota::{Amount, EPS};
 use super::slots::{Booked, PoolKey, Slot};
@@ -13,6 +14,8 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+/// Why a job waits for which no machine has room.
+const NO_ROOM: &str = "no machine with room";
 /// Least time between two passes: what happens meanwhile is dealt with together.
 const PASS: Micros = Micros::millis(40);
 /// How long room that comes up on a machine is left to its own seat.
@@ -24,6 +27,14 @@
 
 /// How long a request to make room stands.
 const ASKED: Micros = Micros::secs(1);
+/// Part of a seat's machines that may be kept free of small tasks at once.
+const RESERVED: f64 = 0.3;
+/// A large task that has waited for this part of its class's objective is late.
+const LATE: f64 = 0.33;
+/// Objective of classes that have none, in seconds.
+const USUAL_S: f64 = 240.0;
+/// Up to this rank work goes before large tasks that wait.
+const URGENT: u32 = 1;
 /// Objectives below this leave no time for saves.
 const SHORT_S: f64 = 10.0;
 
@@ -110,6 +121,7 @@
                     stopping: t.stop_ms.is_some() || self.was_asked(&t.job, t.index, t.attempt),
                     placed: Micros::secs(t.placed_s),
                     checkpoint_s: t.checkpoint_s,
+                    expected_s: t.expected_s,
                 });
             }
         }
@@ -135,6 +147,7 @@
                     stopping: p.stop.is_some(),
                     placed: p.at,
                     checkpoint_s: j.spec.checkpoint_s,
+                    expected_s: expected_s(j, &self.estimates),
                 });
             }
         }
@@ -289,6 +302,8 @@
         let slack = if hurried { u32::MAX } else { place::slack(&self.options, spec.image_gb) };
         let pack = !hurried
             && pass.blocked.iter().any(|d| d.cpus > spec.cpus || d.memory_gb > spec.memory_gb);
+        let expected = expected_s(job, &self.estimates);
+        let barred = pack && rank > URGENT && !self.reserved.is_empty();
         let mut zones = job.zones();
         let save = self.time_to_save(job);
         let pools = self.slots.pools(|k| {
@@ -298,7 +313,7 @@
         });
         // Others of the same shape fail for the same reason, unless this job
         // is barred from machines that are open to them.
-        let plain = job.avoid.is_empty() && !spec.one_zone && !spec.spread;
+        let plain = job.avoid.is_empty() && !spec.one_zone && !spec.spread && !barred;
         let mut holders: Vec<usize> = self
             .images
             .holders(now, &spec.image)
@@ -323,6 +338,7 @@
             }
             let suits = |m: &Slot| {
                 m.settled <= now
+                    && !(barred && self.reserved.contains(&m.machine))
                     && !job.avoid.contains(&m.machine)
                     && !self.lists(&m.machine, id, index)
             };
@@ -391,10 +407,10 @@
                 }
             }
             let Some(at) = chosen else {
-                break "no machine with room";
+                break NO_ROOM;
             };
             let Some(slot) = self.slots.get(at) else {
-                break "no machine with room";
+                break NO_ROOM;
             };
             let (machine, session) = (Rc::clone(&slot.machine), slot.session);
             let zone = self.slots.pool_of(at).map(|k| Rc::clone(&k.zone)).unwrap_or_default();
@@ -430,7 +446,7 @@
                 return;
             };
             let Some(attempt) = job.put(wall, index, &machine, session, &zone) else {
-                break "no machine with room";
+                break NO_ROOM;
             };
             let rank = job.rank();
             pass.left -= 1;
@@ -456,6 +472,7 @@
                     stopping: false,
                     placed: wall,
                     checkpoint_s: spec.checkpoint_s,
+                    expected_s: expected,
                 });
             });
             if !hit {
@@ -594,6 +611,59 @@
         }
     }
 
+    /// Keeps machines free of further small tasks where large ones have waited
+    /// for long: filled up again task by task, no machine would ever have
+    /// room for one that needs it whole. Those are taken that have it soonest.
+    pub(super) fn reserve_for_large(&mut self) {
+        self.reserved.clear();
+        if !self.acting() {
+            return;
+        }
+        let wall = self.wall();
+        let mut late: Vec<(u32, Rc<JobSpec>)> = Vec::new();
+        for j in self.jobs.values().filter(|j| !j.cancelled && !j.over && j.pending() > 0) {
+            let within = self
+                .settings
+                .objectives
+                .iter()
+                .filter(|o| o.class == j.spec.class && o.kind == "finished")
+                .filter_map(|o| o.within_s)
+                .fold(USUAL_S, f64::min);
+            let waited = wall.since(j.accepted).as_secs_f64();
+            if waited > within * LATE && j.waits == NO_ROOM {
+                late.push((j.pending(), Rc::clone(&j.spec)));
+            }
+        }
+        late.sort_by(|a, b| b.1.cpus.total_cmp(&a.1.cpus));
+        let ours = self.slots.iter().filter(|(_, _, s)| !s.foreign).count();
+        let mut left = (ours as f64 * RESERVED) as usize;
+        for (tasks, spec) in late {
+            if left == 0 {
+                return;
+            }
+            let need = [spec.cpus, spec.gpus, spec.memory_gb];
+            let mut soonest: Vec<(f64, Rc<str>)> = self
+                .slots
+                .iter()
+                .filter(|(_, k, s)| {
+                    !s.foreign
+                        && (spec.spot || !k.spot)
+                        && spec
+                            .types
+                            .as_ref()
+                            .is_none_or(|l| l.iter().any(|t| **t == *k.machine_type))
+                        && spec.zone.as_deref().is_none_or(|z| z == &*k.zone)
+                        && !self.reserved.contains(&s.machine)
+                })
+                .filter_map(|(_, _, s)| Some((s.room_in(wall, &need)?, Rc::clone(&s.machine))))
+                .collect();
+            soonest.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            let count = (tasks as usize).min(left);
+            left -= count.min(soonest.len());
+            self.reserved.extend(soonest.into_iter().take(count).map(|(_, m)| m));
+        }
+    }
+
     /// Lets go of requests to make room that nobody has heeded.
     pub(super) fn tend_asked(&mut self) {
         let now = self.now;
--- a/src/controller/seats.rs
+++ b/src/controller/seats.rs
@@ -222,6 +222,16 @@
             self.posts.entry(m.clone()).or_default();
             self.dirty_posts.insert(m);
         }
+        // Where they are is known from the views of the earlier holder, or
+        // from a peer that had heard them.
+        for v in self.views.values().filter(|v| !v.address.is_empty()) {
+            if let Ok(address) = v.address.parse() {
+                self.hints.entry(v.machine.clone()).or_insert((v.session, address));
+            }
+        }
+        let ours: Vec<String> =
+            self.hints.keys().filter(|m| self.seat_of_machine(m) == s).cloned().collect();
+        self.hellos.extend(ours);
     }
 
     pub(super) fn seat_reply(&mut self, op: Op, reply: StateReply) {
--- a/src/controller/slots.rs
+++ b/src/controller/slots.rs
@@ -36,6 +36,8 @@
     pub placed: Micros,
     /// Seconds between its checkpoints.
     pub checkpoint_s: f64,
+    /// Seconds that it is expected to run.
+    pub expected_s: f64,
 }
 
 /// A machine's kind and place: machines of a pool pass the same filters.
@@ -98,6 +100,33 @@
         [0, 1, 2].map(|r| self.free[r] - self.held[r])
     }
 
+    /// Seconds until tasks have ended whose room, with what is free, takes
+    /// another; `None` if it is too large for the machine.
+    pub fn room_in(&self, wall: Micros, need: &[f64; 3]) -> Option<f64> {
+        let mut ends: Vec<(f64, &Booked)> = self
+            .tasks
+            .iter()
+            .map(|b| {
+                let left = b.expected_s - wall.since(b.placed).as_secs_f64();
+                // One that is overdue may run for as long again.
+                (if left > 0.0 { left } else { b.expected_s / 2.0 }, b)
+            })
+            .collect();
+        ends.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut free = self.free;
+        let mut at = 0.0;
+        for (end, b) in ends {
+            if fits(&free, need) > 0 {
+                break;
+            }
+            at = end;
+            for (f, a) in free.iter_mut().zip(b.amount) {
+                *f += a;
+            }
+        }
+        (fits(&free, need) > 0).then_some(at)
+    }
+
     fn load_key(&self, id: usize) -> (u32, bool, i64, usize) {
         (self.tasks.len() as u32, self.foreign, -milli(self.free[0]), id)
     }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -68,6 +68,9 @@
     /// word of a later version must not read as that: it reads as `Ahead`.
     #[prost(enumeration = "Phase", tag = "15")]
     pub phase: i32,
+    /// Seconds that it is expected to run.
+    #[prost(double, tag = "16")]
+    pub expected_s: f64,
 }
 
 /// How far a wanted task is, by its owner.
@@ -325,6 +328,21 @@
     pub save: bool,
 }
 
+/// Where a machine was last known to be, for a controller that may take its
+/// seat without having heard of it.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hint {
+    /// Machine.
+    #[prost(string, tag = "1")]
+    pub machine: String,
+    /// Session.
+    #[prost(uint64, tag = "2")]
+    pub session: u64,
+    /// Address for direct commands.
+    #[prost(string, tag = "3")]
+    pub address: String,
+}
+
 /// One message between controllers.
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
@@ -374,6 +392,9 @@
     /// urgent ones.
     #[prost(message, repeated, tag = "15")]
     pub preempt: Vec<Preempt>,
+    /// Machines of seats that the sender does not hold, as it last knew them.
+    #[prost(message, repeated, tag = "16")]
+    pub hints: Vec<Hint>,
 }
 
 /// Appends a frame with its length in front.
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -165,6 +165,7 @@
         stopping,
         placed: Micros::ZERO,
         checkpoint_s: 0.0,
+        expected_s: 10.0,
     };
     for step in 0..3_000 {
         let name = format!("vm-{:02}", rng.random_range(0..40));
