List machines more often, move overdue tasks off machines about to be taken

Tasks that had run longer than usual were thought to end at once and were left there at the notice; the list of five pages came every 10 s; an urgent start threw away 140 s of work for 3 s of fetching.

--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -149,7 +149,13 @@
         };
         let left = Micros::millis(left);
         let ran = p.running_since.map_or(Micros::ZERO, |at| now.since(at));
-        let ends_in = if p.running_since.is_some() { typical.since(ran) } else { Micros::FAR };
+        // One that has run for longer than usual is a long one: nothing says
+        // that it ends now.
+        let ends_in = match p.running_since {
+            Some(_) if ran < typical => typical.since(ran),
+            Some(_) => Micros(ran.0 / 2),
+            None => Micros::FAR,
+        };
         if ends_in + Micros::secs(2) < left {
             return;
         }
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -27,6 +27,9 @@
 
 /// How long a request to make room stands.
 const ASKED: Micros = Micros::secs(1);
+/// What a second of fetching counts, in seconds of work lost, for a start that
+/// it would make late.
+const SLOW_FETCH: f64 = 8.0;
 /// Part of a seat's machines that may be kept free of small tasks at once.
 const RESERVED: f64 = 0.3;
 /// A large task that has waited for this part of its class's objective is late.
@@ -541,9 +544,9 @@
                 let machine_type = self.slots.pool_of(at).map_or("", |k| &k.machine_type);
                 let rate = self.types.get(machine_type).map_or(1.0, |t| t.fetch_gb_per_s);
                 let fetch = spec.image_gb / rate.max(0.01);
-                // Stopping others for a start that then waits for its image
-                // would gain nothing.
-                spec.cpus * if too_slow { fetch * 100.0 } else { fetch }
+                // A start that then waits for its image comes late, but much
+                // work thrown away for it costs more.
+                spec.cpus * if too_slow { fetch * SLOW_FETCH } else { fetch }
             };
             let loss = |b: &Booked| b.amount[0] * self.loss(b.placed, b.checkpoint_s);
             let mut order: Vec<(f64, u32, usize)> = slot
--- a/src/controller/renter.rs
+++ b/src/controller/renter.rs
@@ -37,7 +37,7 @@
         if now >= self.fleet.list_at && self.fleet.listing.is_none() {
             // A page holds 500: more pages leave less of the rate for renting.
             let pages = self.fleet.machines.len() as u64 / 500 + 1;
-            self.fleet.list_at = now + Micros(LIST_EVERY.0 * pages);
+            self.fleet.list_at = now + Micros(LIST_EVERY.0 * (pages + 1) / 2);
             self.fleet.listing = Some((now, Vec::new()));
             let op = Op::ListMachines { asked: now, term };
             self.cloud(op, CloudCall::List { after: None });
