Give no tasks to machines that hear nothing; start nothing of a job that is done

A machine whose reports arrive while answers and commands do not begins one session after the other and always looks free. A session that ends although reports were answered within half a lease, or a direct command without an answer, marks it; commands that order nothing ask it every 5 s; an answer, a start that it has, or a session of twice the lease clears it. The rehearsal plays it and late copies of reports.

--- a/src/controller/holder.rs
+++ b/src/controller/holder.rs
@@ -10,6 +10,7 @@
 use crate::wire::{Command, DirectCommands, Refusal, Report, ReportReply, ReportTo};
 use log::{debug, info, warn};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
 
 /// Added to a worker's lease before its tasks count as gone.
 const LEASE_MARGIN: Micros = Micros::millis(1_000);
@@ -81,16 +82,19 @@
             return self.respond(ticket, 503, Some(1), &Refusal::new("superseded"));
         }
         let now = self.now;
+        let lease = Micros::from_secs_f64(self.settings.workers.lease_s);
         let machine = report.machine.clone();
         let post = self.posts.entry(machine.clone()).or_default();
         if post.session == 0 {
             info!("machine {machine} reports: {} in {}", report.machine_type, report.zone);
         }
+        let before = post.session;
         let Some(outcomes) = post.take_report(now, &report, term, true) else {
             // Overtaken on its way: the worker has long given it up, and an
             // answer would claim a lease that has been declared over.
             return self.respond(ticket, 503, Some(1), &Refusal::new("overtaken"));
         };
+        post.judge_hearing(now, before, lease);
         post.answered = Some(now);
         let known = post.known;
         self.note_outcomes(&machine, outcomes);
@@ -395,10 +399,10 @@
             && let Some(machine) = self.hellos.pop_first()
         {
             let s = self.seat_of_machine(&machine);
-            let Some(term) = self.my_term(s) else {
+            if self.my_term(s).is_none() {
                 // Kept among the hints until the seat is taken.
                 continue;
-            };
+            }
             let Some((session, address)) = self.hints.remove(&machine) else {
                 continue;
             };
@@ -409,11 +413,8 @@
             if post.known || post.heard.is_some() || post.direct_busy {
                 continue;
             }
-            post.direct_busy = true;
-            let body = DirectCommands { token: term, session, commands: Vec::new() };
-            let body = serde_json::to_vec(&body).unwrap_or_default();
-            let id = self.call_id(Op::Direct { machine, starts: Vec::new(), term });
-            self.out.push(Effect::Direct { id, address, body });
+            // The session is not taken over: what it is now, its answer says.
+            self.ask(&machine, session, address);
             sent += 1;
         }
     }
@@ -440,6 +441,12 @@
             DirectReply::NotSent => (Some(false), None),
         };
         post.direct_ended(starts, executed);
+        match executed {
+            Some(true) => post.deaf = false,
+            Some(false) => {}
+            // Until something shows that it hears, it is given nothing more.
+            None => post.deaf = true,
+        }
         if executed != Some(true) {
             // Its reports carry the commands meanwhile.
             post.direct_after = now + Micros::secs(5);
@@ -462,7 +469,7 @@
         let (now, lease) = (self.now, self.worker_lease());
         let taken: Vec<Option<Micros>> =
             self.seats.iter().map(|s| s.mine.as_ref().map(|m| m.taken)).collect();
-        let mut changed = Vec::new();
+        let (mut changed, mut deaf) = (Vec::new(), Vec::new());
         let silent = self.silent();
         let seats = self.seats.len();
         for (name, post) in &mut self.posts {
@@ -480,9 +487,35 @@
                 if fresh != post.fresh || unsent {
                     changed.push(name.clone());
                 }
+                if post.deaf
+                    && fresh
+                    && now >= post.direct_after
+                    && let Some(address) = post.address
+                {
+                    deaf.push((name.clone(), post.session, address));
+                }
             }
         }
         self.dirty_posts.extend(changed);
+        for (machine, session, address) in deaf {
+            self.ask(&machine, session, address);
+        }
+    }
+
+    /// Sends commands that order nothing: the answer shows that it hears.
+    fn ask(&mut self, machine: &str, session: u64, address: SocketAddrV4) {
+        let Some(term) = self.my_term(self.seat_of_machine(machine)) else {
+            return;
+        };
+        let Some(post) = self.posts.get_mut(machine).filter(|p| !p.direct_busy) else {
+            return;
+        };
+        post.direct_busy = true;
+        let body = DirectCommands { token: term, session, commands: Vec::new() };
+        let body = serde_json::to_vec(&body).unwrap_or_default();
+        let op = Op::Direct { machine: machine.to_string(), starts: Vec::new(), term };
+        let id = self.call_id(op);
+        self.out.push(Effect::Direct { id, address, body });
     }
 
     /// Sends the views that have changed, to the own owner hat first.
@@ -556,7 +589,7 @@
             spot: post.spot,
             address: post.address.map(|a| a.to_string()).unwrap_or_default(),
             notice_ms: post.taken_at.map(|at| at.since(self.now).as_millis()),
-            healthy: fresh && !faulty,
+            healthy: fresh && !faulty && !post.deaf,
             tasks: post.seen_tasks(),
             heard,
             faulty,
--- a/src/controller/machine.rs
+++ b/src/controller/machine.rs
@@ -107,6 +107,10 @@
     pub direct_after: Micros,
     /// Tasks whose stop was sent directly; reports repeat it if need be.
     pub pushed: BTreeSet<Key>,
+    /// Its reports arrive, but nothing shows that it hears what it is told.
+    pub deaf: bool,
+    /// When its present session was first heard of.
+    pub session_at: Micros,
     /// Direct commands under way.
     pub direct_busy: bool,
     /// It counted as reporting in time when its view was last made.
@@ -182,10 +186,12 @@
                     _ => {}
                 }
             }
-            if let Some(s) = self.sent.remove(&key)
-                && (s.late || s.direct > 0)
-            {
-                self.late.insert(key.clone());
+            if let Some(s) = self.sent.remove(&key) {
+                // It has what it was told to start.
+                self.deaf = false;
+                if s.late || s.direct > 0 {
+                    self.late.insert(key.clone());
+                }
             }
             self.refused.remove(&key);
             self.waiting.remove(&key);
@@ -202,6 +208,24 @@
         Some(outcomes)
     }
 
+    /// Judges, after a report was taken in, whether the machine hears anything;
+    /// `before` is the session known until then.
+    ///
+    /// An answered report is no proof that the answer was heard. A session that
+    /// ended although reports were answered a moment ago proves the contrary;
+    /// such a machine begins one session after the other, and always looks free.
+    pub fn judge_hearing(&mut self, now: Micros, before: u64, lease: Micros) {
+        if self.session > before {
+            self.session_at = now;
+            let lately = self.answered.is_some_and(|at| now.since(at) < Micros(lease.0 / 2));
+            self.deaf |= before > 0 && lately;
+        } else if now.since(self.session_at) > Micros(lease.0 * 2) {
+            // A session that lasts has heard answers. Twice the lease, since
+            // what arrives may have been sent long ago.
+            self.deaf = false;
+        }
+    }
+
     /// Silence for longer than any lease: what ran there is gone. `base` is the
     /// last moment at which anybody may have answered a report.
     pub fn tend(&mut self, now: Micros, base: Micros, lease: Micros) -> bool {
--- a/src/controller/seats.rs
+++ b/src/controller/seats.rs
@@ -548,6 +548,11 @@
             };
             job.cancelled = record.stage == StoredStage::Cancelled;
             job.over = record.stage == StoredStage::Done;
+            if job.over {
+                // What its parts still name has completed; it must not be
+                // wanted, and so started, again.
+                job.parts.iter_mut().for_each(|p| p.placed.clear());
+            }
             count += 1;
             for part in &job.parts {
                 for (index, p) in &part.placed {
--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -45,6 +45,12 @@
     pub one_way: Vec<(usize, usize, u64, u64)>,
     /// A worker is cut off (`true`: hangs); what is sent to it arrives late.
     pub worker_cuts: Vec<(usize, u64, u64, bool)>,
+    /// Workers whose reports arrive, while answers and commands do not reach
+    /// them: worker, from, to.
+    pub deaf: Vec<(usize, u64, u64)>,
+    /// Chance that a copy of a report arrives again, up to 40 s later, at any
+    /// controller.
+    pub copies: f64,
     /// Chance that a transaction's answer is lost.
     pub lost: f64,
     /// Chance that such a transaction is applied, later by up to ten seconds.
@@ -119,6 +125,7 @@
     Start { node: usize },
     Crash { node: usize },
     Node { node: usize, incarnation: u64, event: Event },
+    Copy { node: usize, event: Event },
     State { node: usize, incarnation: u64, id: CallId, call: StateCall, lose: bool },
     LateTxn { call: StateCall },
     Direct { node: usize, incarnation: u64, id: CallId, worker: usize, body: Vec<u8> },
@@ -153,6 +160,8 @@
     watches: Vec<(usize, u64, CallId, String, u64, Micros)>,
     pub broken: Vec<String>,
     pub starts: u64,
+    /// Direct commands sent to workers that did not hear them.
+    pub told_deaf: u64,
 }
 
 fn settings(node: usize, writes: f64) -> Config {
@@ -216,6 +225,7 @@
             watches: Vec::new(),
             broken: Vec::new(),
             starts: 0,
+            told_deaf: 0,
             troubles,
             rng: StdRng::seed_from_u64(rng.random()),
         };
@@ -299,6 +309,10 @@
         Some(Micros::secs(cut.2))
     }
 
+    fn deaf(&self, worker: usize) -> bool {
+        self.troubles.deaf.iter().any(|(w, from, to)| *w == worker && self.during(*from, *to))
+    }
+
     fn hangs(&self, worker: usize) -> bool {
         self.troubles
             .worker_cuts
@@ -346,6 +360,11 @@
                     self.feed(node, event);
                 }
             }
+            Ev::Copy { node, event } => {
+                if self.nodes[node].is_some() {
+                    self.feed(node, event);
+                }
+            }
             Ev::State { node, incarnation, id, call, lose } => {
                 self.state_call(node, incarnation, id, call, lose)
             }
@@ -485,7 +504,11 @@
                 let held = self.chance(self.troubles.held);
                 let cut = self.worker_cut(worker);
                 let event = Event::Reply { id, reply: Reply::Direct(DirectReply::Unknown) };
-                if held || cut.is_some() {
+                if self.deaf(worker) {
+                    self.told_deaf += 1;
+                    let at = self.now + Micros::secs(3);
+                    self.at(at, Ev::Node { node, incarnation, event });
+                } else if held || cut.is_some() {
                     let late = Micros::secs(self.rng.random_range(1..20));
                     let at = cut.unwrap_or(self.now) + late;
                     // The answer never comes; the command does.
@@ -620,6 +643,16 @@
                 Some(end) => end + Micros::millis(3),
                 None => now + self.delay(),
             };
+            if self.chance(self.troubles.copies) {
+                self.next_ticket += 1;
+                let (to, late) = (self.rng.random_range(0..3), self.rng.random_range(500..40_000));
+                if let Event::Http { method, path, body, .. } = event.clone() {
+                    let ticket = Ticket(self.next_ticket);
+                    let event = Event::Http { ticket, method, path, body };
+                    self.at(at + Micros::millis(late), Ev::Copy { node: to, event });
+                }
+                self.next_ticket += 1;
+            }
             self.at(at, Ev::Node { node, incarnation, event });
         }
         self.at(now + Micros::millis(250), Ev::Worker { worker });
@@ -637,7 +670,10 @@
     fn answer(&mut self, ticket: u64, status: u16, body: &[u8]) {
         match self.tickets.remove(&ticket) {
             Some(Origin::Worker { worker, sent, report }) => {
-                if self.worker_cut(worker).is_some() || self.workers[worker].gone {
+                if self.worker_cut(worker).is_some()
+                    || self.workers[worker].gone
+                    || self.deaf(worker)
+                {
                     return;
                 }
                 let begun = self.workers[worker].answered(self.now, sent, report, status, body);
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -380,6 +380,34 @@
     assert!(!never.tend(now + lease, now, lease) && !never.vanished);
     assert!(never.tend(now + lease + Micros(1), now, lease) && never.vanished);
 
+    // Sessions that end although reports are answered: it hears nothing. An
+    // answered direct command, a start that it has, or a session that lasts
+    // for twice its lease shows that it hears again.
+    let mut post = Post::default();
+    post.take_report(now, &report(1, 1, 4, &[]), 4, true);
+    post.judge_hearing(now, 0, lease);
+    assert!(!post.deaf, "the first session says nothing");
+    post.answered = Some(now);
+    post.take_report(now + lease, &report(2, 1, 4, &[]), 4, true);
+    post.judge_hearing(now + lease, 1, lease);
+    assert!(!post.deaf, "nothing was answered for long: it was away");
+    post.answered = Some(now + lease);
+    post.take_report(now + lease + Micros(9), &report(3, 1, 4, &[]), 4, true);
+    post.judge_hearing(now + lease + Micros(9), 2, lease);
+    assert!(post.deaf);
+    let later = now + lease + lease;
+    post.take_report(later, &report(3, 2, 4, &[]), 4, true);
+    post.judge_hearing(later, 3, lease);
+    assert!(post.deaf, "a session that has not lasted yet");
+    let lasted = later + lease + lease;
+    post.take_report(lasted, &report(3, 3, 4, &[]), 4, true);
+    post.judge_hearing(lasted, 3, lease);
+    assert!(!post.deaf);
+    post.deaf = true;
+    post.sent.insert(key(1), Sent { answered: true, ..Sent::default() });
+    post.take_report(lasted, &report(3, 4, 4, &[(1, TaskState::Running, None)]), 4, true);
+    assert!(!post.deaf, "it has what it was told to start");
+
     let table = [
         (TaskState::Fetching, None, Seen::Fetching),
         (TaskState::Saving, None, Seen::Saving),
--- a/tests/three_controllers.rs
+++ b/tests/three_controllers.rs
@@ -210,4 +210,20 @@
     for (name, troubles) in table {
         play(name, 40..44, 500, &troubles);
     }
+    let copies = Troubles {
+        copies: 0.3,
+        crashes: vec![(25, 1), (33, 3), (60, 2)],
+        back_ms: 300,
+        worker_cuts: vec![(0, 18, 40, false), (2, 50, 66, true)],
+        taken: vec![(28, 4)],
+        ..Troubles::default()
+    };
+    play("late copies of reports", 50..58, 500, &copies);
+    for seed in 50..54 {
+        let deaf = Troubles { deaf: vec![(1, 10, 90), (3, 30, 70)], ..Troubles::default() };
+        let world = until_done("workers that hear nothing", seed, &plans(), 500, &deaf);
+        // They were asked now and then, and not given one task after the other.
+        let told = world.told_deaf;
+        assert!((4..60).contains(&told), "seed {seed}: {told} commands");
+    }
 }
