--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -155,8 +155,8 @@
     Peer {
         /// Number of the member.
         to: usize,
-        /// The frame.
-        frame: Frame,
+        /// The frame; one for several peers is written only once.
+        frame: Rc<Frame>,
     },
 }
 
@@ -730,13 +730,14 @@
                 self.set_draining(frame.draining.iter().cloned().collect());
             }
         }
+        let frame = Rc::new(frame);
         let sync = std::mem::take(&mut self.sync_peers);
         let peers: Vec<usize> = self.peers.keys().copied().collect();
         for to in peers {
             let frame = if sync.contains(&to) && acting {
-                self.full_frame(frame.clone())
+                Rc::new(self.full_frame((*frame).clone()))
             } else {
-                frame.clone()
+                Rc::clone(&frame)
             };
             self.out.push(Effect::Peer { to, frame });
         }
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -341,7 +341,7 @@
             }
             let suits = |m: &Slot| {
                 m.settled <= now
-                    && !(barred && self.reserved.contains(&m.machine))
+                    && (!barred || !self.reserved.contains(&m.machine))
                     && !job.avoid.contains(&m.machine)
                     && !self.lists(&m.machine, id, index)
             };
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -636,6 +636,7 @@
     }
 
     fn perform(&mut self, mut effects: Vec<Effect>) {
+        let mut written: Option<(Rc<peer::Frame>, Vec<u8>)> = None;
         for effect in effects.drain(..) {
             match effect {
                 Effect::Respond { ticket, status, retry_after, body } => {
@@ -658,7 +659,7 @@
                         Micros::secs(3),
                     );
                 }
-                Effect::Peer { to, frame } => self.send_frame(to, &frame),
+                Effect::Peer { to, frame } => self.send_frame(to, &frame, &mut written),
             }
         }
         if self.effects.capacity() < effects.capacity() && self.effects.is_empty() {
@@ -801,7 +802,13 @@
         self.dispatch(Event::Reply { id, reply });
     }
 
-    fn send_frame(&mut self, to: usize, frame: &peer::Frame) {
+    /// Sends a frame; `written` holds the bytes of the last one.
+    fn send_frame(
+        &mut self,
+        to: usize,
+        frame: &Rc<peer::Frame>,
+        written: &mut Option<(Rc<peer::Frame>, Vec<u8>)>,
+    ) {
         let Some(id) = self.peers.get(&to).and_then(|l| l.conn) else {
             return;
         };
@@ -816,7 +823,17 @@
             self.close(id);
             return;
         }
-        peer::write_frame(&mut conn.outbound, frame);
+        match written {
+            Some((last, bytes)) if Rc::ptr_eq(last, frame) => {
+                conn.outbound.extend_from_slice(bytes)
+            }
+            _ => {
+                let mut bytes = Vec::new();
+                peer::write_frame(&mut bytes, frame);
+                conn.outbound.extend_from_slice(&bytes);
+                *written = Some((Rc::clone(frame), bytes));
+            }
+        }
         self.write(id);
     }
 
--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -521,7 +521,7 @@
                 };
                 let at = at.max(last + Micros(1));
                 self.links.insert((node, to), (link, at));
-                self.at(at, Ev::Peer { from: node, link, to, frame: Box::new(frame) });
+                self.at(at, Ev::Peer { from: node, link, to, frame: Box::new((*frame).clone()) });
             }
         }
     }
