Give large tasks a fifth of the machines before they are late

Cause: on the timber yard small tasks fill every machine as it comes up; when their backlog is gone, one long one is left on nearly each, and 2,500 offcut-reports that need whole machines wait while 3,400 of 8,600 CPUs are idle (troubles, 205 to 285 s). Ruled out: writes, limits, refusals (under 1 %).

Of each seat's machines a fifth is kept for large tasks that have waited for 5 s, those that large ones run on counted.

--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -32,6 +32,10 @@
 const SLOW_FETCH: f64 = 8.0;
 /// Part of a seat's machines that may be kept free of small tasks at once.
 const RESERVED: f64 = 0.3;
+/// Part of a seat's machines that large tasks have before they are late.
+const SHARE: f64 = 0.2;
+/// Seconds after which a waiting large task has its share.
+const SOON_S: f64 = 5.0;
 /// A large task that has waited for this part of its class's objective is late.
 const LATE: f64 = 0.33;
 /// Objective of classes that have none, in seconds.
@@ -623,7 +627,7 @@
             return;
         }
         let wall = self.wall();
-        let mut late: Vec<(u32, Rc<JobSpec>)> = Vec::new();
+        let mut waiting: Vec<(bool, u32, Rc<JobSpec>)> = Vec::new();
         for j in self.jobs.values().filter(|j| !j.cancelled && !j.over && j.pending() > 0) {
             let within = self
                 .settings
@@ -633,16 +637,24 @@
                 .filter_map(|o| o.within_s)
                 .fold(USUAL_S, f64::min);
             let waited = wall.since(j.accepted).as_secs_f64();
-            if waited > within * LATE && j.waits == NO_ROOM {
-                late.push((j.pending(), Rc::clone(&j.spec)));
+            if waited > SOON_S && j.waits == NO_ROOM {
+                waiting.push((waited > within * LATE, j.pending(), Rc::clone(&j.spec)));
             }
         }
-        late.sort_by(|a, b| b.1.cpus.total_cmp(&a.1.cpus));
-        let ours = self.slots.iter().filter(|(_, _, s)| !s.foreign).count();
-        let mut left = (ours as f64 * RESERVED) as usize;
-        for (tasks, spec) in late {
+        waiting.sort_by(|a, b| b.2.cpus.total_cmp(&a.2.cpus).then(b.0.cmp(&a.0)));
+        let ours = self.slots.iter().filter(|(_, _, s)| !s.foreign).count() as f64;
+        for (late, tasks, spec) in waiting {
+            let large = |s: &Slot| s.tasks.iter().any(|b| b.amount[0] >= spec.cpus);
+            let most = if late {
+                ours * RESERVED
+            } else {
+                // Those that large tasks run on already are their share, too.
+                let run = self.slots.iter().filter(|(_, _, s)| !s.foreign && large(s)).count();
+                ours * SHARE - run as f64
+            };
+            let left = (most.max(0.0) as usize).saturating_sub(self.reserved.len());
             if left == 0 {
-                return;
+                continue;
             }
             let need = [spec.cpus, spec.gpus, spec.memory_gb];
             let mut soonest: Vec<(f64, Rc<str>)> = self
@@ -662,7 +674,6 @@
                 .collect();
             soonest.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
             let count = (tasks as usize).min(left);
-            left -= count.min(soonest.len());
             self.reserved.extend(soonest.into_iter().take(count).map(|(_, m)| m));
         }
     }
