--- a/src/controller/holder.rs
+++ b/src/controller/holder.rs
@@ -208,9 +208,7 @@
             if let Some(m) = w.machines.get(machine) {
                 for t in &m.tasks {
                     let key = Key { job: t.job.clone(), index: t.index, attempt: t.attempt };
-                    // Its owner may have given up what an earlier holder had
-                    // refused: it must have said so knowing of this term.
-                    if t.phase() == Phase::Wanted && t.stop_ms.is_none() && m.known >= term {
+                    if machine::may_start(t, m.known, term) {
                         startable.insert(key.clone());
                     }
                     wanted.insert(key, t.clone());
@@ -445,7 +443,10 @@
             Some(true) => post.deaf = false,
             Some(false) => {}
             // Until something shows that it hears, it is given nothing more.
-            None => post.deaf = true,
+            None => {
+                debug!("machine {machine} did not answer commands");
+                post.deaf = true;
+            }
         }
         if executed != Some(true) {
             // Its reports carry the commands meanwhile.
--- a/src/controller/machine.rs
+++ b/src/controller/machine.rs
@@ -1,7 +1,7 @@
 //! What a machine's seat knows of it: its reports, what was sent, what may
 //! still be under way.
 
-use crate::peer::{Seen, SeenTask};
+use crate::peer::{Phase, Seen, SeenTask, WantedTask};
 use crate::time::Micros;
 use crate::wire::{Cause, Command, Report, TaskState};
 use std::collections::{BTreeMap, BTreeSet};
@@ -286,6 +286,17 @@
     }
 }
 
+/// Whether a wanted task may be started under a term, its owner having known
+/// the term `known` of the machine's seat.
+///
+/// What is not written down yet could run beside another attempt that nobody
+/// remembers. What an earlier holder had refused its owner may have given up
+/// and begun elsewhere: the wants must have been said knowing of this term, for
+/// then they say so.
+pub fn may_start(task: &WantedTask, known: u64, term: u64) -> bool {
+    task.phase() == Phase::Wanted && task.stop_ms.is_none() && known >= term
+}
+
 /// A start.
 pub fn start(key: &Key) -> Command {
     Command::Start { task: key.task(), attempt: key.attempt }
--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -59,6 +59,8 @@
     pub held: f64,
     /// The cloud takes these machines at that time.
     pub taken: Vec<(u64, usize)>,
+    /// Machines at the start, if not the usual five.
+    pub machines: Option<usize>,
     /// Changes a second that the state service takes, if that is little.
     pub writes: Option<f64>,
     /// Workers on which every task fails.
@@ -229,7 +231,7 @@
         for n in 0..3 {
             world.at(Micros::millis(1_000 + 10 * n as u64), Ev::Start { node: n });
         }
-        for i in 0..5 {
+        for i in 0..world.troubles.machines.unwrap_or(5) {
             world.add_worker(if i % 2 == 0 { "a" } else { "b" }, i == 4);
         }
         for (s, count) in world.troubles.crashes.clone() {
@@ -700,6 +702,9 @@
             {
                 self.broken.push(format!("ran_cancelled: {task} begun"));
             }
+            if self.store.done(job) {
+                self.broken.push(format!("{task} begun, though its job is done"));
+            }
             let w = &self.workers[worker];
             let attempt = w.attempt(&task).unwrap_or(0);
             if !self.store.written(&task, &w.name, attempt) && j.cancelled_at.is_none() {
--- a/tests/rehearsal/store.rs
+++ b/tests/rehearsal/store.rs
@@ -147,6 +147,11 @@
         })
     }
 
+    /// Whether a job is stored as done.
+    pub fn done(&self, job: &str) -> bool {
+        self.keys.get(&format!("j/{job}")).is_some_and(|(value, _, _)| value["g"] == "d")
+    }
+
     /// Attempts that were ever written down for a machine.
     pub fn attempts(&self, machine: &str) -> usize {
         let mut seen = std::collections::BTreeSet::new();
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -5,13 +5,13 @@
 use millethold::controller::fleet::{self, Fleet, Room};
 use millethold::controller::image::ImageIndex;
 use millethold::controller::job::{self, Job, PartSize};
-use millethold::controller::machine::{Key, Post, Sent};
+use millethold::controller::machine::{Key, Post, Sent, may_start};
 use millethold::controller::place;
 use millethold::controller::quota::{self, Need, TeamQuota};
 use millethold::controller::seat::{self, Hold, Lease, Seat};
 use millethold::controller::slots::{Booked, PoolKey, Slot, Slots};
 use millethold::http::{self, HttpError};
-use millethold::peer::{self, Demand, Frame, Seen};
+use millethold::peer::{self, Demand, Frame, Phase, Seen, WantedTask};
 use millethold::state::{Bucket, Budget, StateCall, StateReply};
 use millethold::time::Micros;
 use millethold::wire::{
@@ -214,6 +214,19 @@
         assert_eq!(slots.below(1) as usize, tasks().filter(|b| b.rank > 1).count());
         assert_eq!((slots.len(), slots.is_empty()), (plain.len(), plain.is_empty()));
     }
+    // A machine has room for a large task once enough of its tasks have ended.
+    let mut slot = Slot::new("vm-x".into(), 1, false, [4.0, 0.0, 16.0]);
+    for (cpus, expected_s) in [(1.0, 50.0), (1.0, 20.0), (1.0, 90.0)] {
+        slot.book(Booked { expected_s, ..booked(2, cpus, false) });
+    }
+    let at = Micros::secs(10);
+    for (cpus, want) in [(1.0, 0.0), (2.0, 10.0), (3.0, 40.0), (4.0, 80.0)] {
+        assert_eq!(slot.room_in(at, &[cpus, 0.0, 1.0]), Some(want), "{cpus} CPUs");
+    }
+    assert_eq!(slot.room_in(at, &[5.0, 0.0, 1.0]), None);
+    // Overdue by five seconds: for half as long again as was expected.
+    assert_eq!(slot.room_in(Micros::secs(25), &[2.0, 0.0, 1.0]), Some(10.0));
+
     // Room held for others is nobody else's, until it is given up.
     let d = Demand { tasks: 500, cpus: 1.0, spot: true, ..Demand::default() };
     assert!(slots.takes(&d));
@@ -426,6 +439,31 @@
     }
 }
 
+#[test]
+fn starts() {
+    let task = |phase: Phase, stop_ms| WantedTask {
+        phase: phase as i32,
+        stop_ms,
+        ..WantedTask::default()
+    };
+    // Task, the term that its owner knew, the holder's term, whether it starts.
+    let table = [
+        (task(Phase::Wanted, None), 4, 4, true),
+        (task(Phase::Wanted, None), 5, 4, true),
+        (task(Phase::Wanted, None), 3, 4, false),
+        (task(Phase::Wanted, None), 0, 1, false),
+        (task(Phase::Wanted, Some(0)), 4, 4, false),
+        (task(Phase::Ahead, None), 4, 4, false),
+        (task(Phase::Over, None), 4, 4, false),
+    ];
+    for (task, known, term, want) in table {
+        assert_eq!(may_start(&task, known, term), want, "{task:?} {known} {term}");
+    }
+    // A phase of a later version must not read as one that starts.
+    let strange = WantedTask { phase: 77, ..WantedTask::default() };
+    assert!(!may_start(&strange, 4, 4));
+}
+
 fn quota(limit: f64, grants: &[(usize, f64)]) -> TeamQuota {
     let team = Team { name: "t".into(), cpus: 4.0, cpus_max: limit, gpus: 0.0, gpus_max: 0.0 };
     let mut q = TeamQuota::new(&team);
--- a/tests/three_controllers.rs
+++ b/tests/three_controllers.rs
@@ -95,6 +95,22 @@
     }
 }
 
+/// A finished job's parts wait to be dropped while its seat changes hands: what
+/// they still name must not be wanted again.
+#[test]
+fn finished_jobs_of_moving_seats() {
+    let troubles = Troubles {
+        writes: Some(4.0),
+        one_way: vec![(0, 1, 8, 40), (1, 0, 8, 40), (0, 2, 42, 70), (2, 0, 42, 70)],
+        crashes: [18, 24, 30, 36, 48, 54, 60].map(|s| (s, 1)).into(),
+        back_ms: 9_000,
+        ..Troubles::default()
+    };
+    for seed in [195, 198, 201, 204, 207, 210] {
+        until_done("few writes, held frames, crashes", seed, &crowded(), 600, &troubles);
+    }
+}
+
 /// Plays to the end: no rule may be broken, no job left undone.
 fn until_done(name: &str, seed: u64, plans: &[Plan], end_s: u64, troubles: &Troubles) -> World {
     let mut world = World::new(seed, plans, troubles.clone());
@@ -117,6 +133,44 @@
     play("quiet", 0..4, 300, &Troubles::default());
 }
 
+/// Some hundreds of machines, and more tasks than they can run at once.
+#[test]
+fn many_machines() {
+    let blue = |at_s, tasks, cpus, run_s, urgency| {
+        let plan = Plan::new(at_s, tasks, cpus, run_s);
+        Plan { team: "blue", urgency, ..plan }
+    };
+    let plans = [
+        blue(3, 900, 1.0, 8.0, "standard"),
+        blue(4, 700, 1.0, 5.0, "standard"),
+        blue(5, 60, 4.0, 10.0, "low"),
+        blue(9, 40, 2.0, 6.0, "high"),
+        blue(16, 500, 1.0, 4.0, "standard"),
+        blue(22, 30, 2.0, 6.0, "high"),
+    ];
+    let table = [
+        ("few writes", Troubles { writes: Some(30.0), ..Troubles::default() }),
+        (
+            "crashes, copies, deaf and hanging machines",
+            Troubles {
+                crashes: vec![(14, 1), (24, 3), (40, 2)],
+                back_ms: 300,
+                copies: 0.05,
+                held: 0.01,
+                deaf: (0..20).map(|w| (w, 10, 45)).collect(),
+                worker_cuts: (20..50).map(|w| (w, 12, 30, w % 2 == 0)).collect(),
+                writes: Some(60.0),
+                ..Troubles::default()
+            },
+        ),
+    ];
+    for (name, troubles) in table {
+        let troubles = Troubles { machines: Some(240), ..troubles };
+        let world = until_done(name, 90, &plans, 240, &troubles);
+        assert!(world.starts >= 2_230, "{name}: only {} starts", world.starts);
+    }
+}
+
 #[test]
 fn crashes() {
     let table = [
