--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -105,6 +105,8 @@
     cancel_asked: bool,
     cancelled_at: Option<Micros>,
     done_told: bool,
+    /// When a question about it was last answered.
+    answered: Micros,
     /// Tasks that completed on some worker, which alone makes `done` true.
     completed: BTreeSet<u32>,
 }
@@ -266,6 +268,7 @@
                     cancel_asked: false,
                     cancelled_at: None,
                     done_told: false,
+                    answered: Micros::ZERO,
                     completed: BTreeSet::new(),
                 },
             );
@@ -413,7 +416,13 @@
             Ev::Worker { worker } => self.worker_turn(worker),
             Ev::GiveUp { worker, report } => self.worker_gives_up(worker, report),
             Ev::Submit(id) => self.submit(&id),
-            Ev::Poll(id) => self.user_asks(&id, "GET", "", Origin::Poll(id.clone())),
+            Ev::Poll(id) => {
+                let j = &self.jobs[&id];
+                if !j.done_told && j.cancelled_at.is_none() {
+                    self.user_asks(&id, "GET", "", Origin::Poll(id.clone()));
+                    self.at(self.now + Micros::secs(5), Ev::Poll(id));
+                }
+            }
             Ev::Cancel(id) => {
                 let job = self.jobs.get_mut(&id).expect("a planned job");
                 job.cancel_asked = true;
@@ -792,6 +801,7 @@
         if !matches!(status, 200 | 201) {
             return;
         }
+        j.answered = now;
         let first = matches!(origin, Origin::Submit(_)) && !j.accepted;
         if let Origin::Submit(_) = origin {
             j.accepted = true;
@@ -816,13 +826,19 @@
             }
             _ => {}
         }
-        if first || (matches!(origin, Origin::Poll(_))) {
+        if first {
             self.at(now + Micros::secs(5), Ev::Poll(id));
         }
     }
 
     /// What must hold at every moment.
     fn check(&mut self) {
+        for (id, j) in &self.jobs {
+            let waits = j.accepted && !j.done_told && j.cancelled_at.is_none();
+            if waits && self.now > j.answered + Micros::secs(75) {
+                self.broken.push(format!("forgotten: no question about {id} is answered"));
+            }
+        }
         let mut used: BTreeMap<&str, f64> = BTreeMap::new();
         for w in self.workers.iter().filter(|w| !w.gone) {
             for task in w.present() {
