--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -524,10 +524,17 @@
             .map(String::as_str)
             .filter(|t| self.may_give.get(*t).is_some_and(|left| *left > EPS))
             .collect();
-        // More urgent work never gives way, or it would take the room back.
+        // More urgent work never gives way, or it would take the room back. What a
+        // team runs within its guarantee goes before borrowed work in the queue,
+        // and yields to it only where that is urgent: else it would be placed
+        // first and stopped next, over and over.
+        let presses = entitled || rank <= URGENT;
         let gives = |b: &Booked| {
-            let borrows = || b.team != spec.team && beyond.iter().any(|t| *t == b.team);
-            !b.stopping && (b.rank > rank || (entitled && b.rank == rank && borrows()))
+            let borrows = || beyond.iter().any(|t| *t == b.team);
+            let others = entitled && b.rank == rank && b.team != spec.team;
+            !b.stopping
+                && ((b.rank > rank && (presses || b.team == spec.team || borrows()))
+                    || (others && borrows()))
         };
         let too_slow = self.fetch_too_slow(job);
         let mut best: Option<(f64, usize, Vec<usize>)> = None;
