--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -74,13 +74,7 @@
         match target {
             path::REPORT => self.report(ticket, body),
             path::JOBS => self.submit(ticket, body),
-            path::HEALTH => {
-                if self.healthy() {
-                    self.respond(ticket, 200, None, &json!({"healthy": true}));
-                } else {
-                    self.respond(ticket, 503, Some(1), &json!({"healthy": false}));
-                }
-            }
+            path::HEALTH => self.health(ticket),
             _ => {
                 let rest = target.get(path::JOBS.len() + 1..).unwrap_or("");
                 let (id, cancel) = match rest.split_once('/') {
@@ -95,18 +89,35 @@
         }
     }
 
-    /// Whether users should be sent here. In an outage of the state service
+    /// Why users should not be sent here, if so. In an outage of the state service
     /// all nodes stay in, so that service resumes the moment that it returns;
     /// a node that alone lost it steps back, which its peers' frames tell.
-    fn healthy(&self) -> bool {
+    fn unhealthy(&self) -> Option<&'static str> {
         if self.types.is_empty() {
-            return false;
+            return Some("machine types are not known yet");
         }
         if self.acting() {
-            return (0..self.seats.len()).any(|s| self.runs(s));
+            let runs = (0..self.seats.len()).any(|s| self.runs(s));
+            return (!runs).then_some("no seat is held");
         }
         let others_well = self.peers.iter().any(|(n, p)| self.peer_alive(*n) && p.state_ok);
-        self.lease.epoch > 0 && self.seats_read && !others_well && self.lease.id.is_some()
+        if others_well {
+            return Some("the state service is away from here alone");
+        }
+        let held = self.lease.epoch > 0 && self.seats_read && self.lease.id.is_some();
+        (!held).then_some("no state lease was held")
+    }
+
+    fn health(&mut self, ticket: Ticket) {
+        let why = self.unhealthy();
+        if self.told_health != Some(why) {
+            self.told_health = Some(why);
+            info!("health: {}", why.unwrap_or("takes requests"));
+        }
+        match why {
+            None => self.respond(ticket, 200, None, &json!({"healthy": true})),
+            Some(why) => self.respond(ticket, 503, Some(1), &Refusal::new(why)),
+        }
     }
 
     /// The seat that accepts new jobs here: the home seat if it is held.
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -334,6 +334,8 @@
     /// Requests refused since the log last told of it, by status and reason.
     refusals: BTreeMap<(u16, String), u64>,
     refusals_at: Micros,
+    /// What the last health check was told: why this node takes no requests.
+    told_health: Option<Option<&'static str>>,
 
     seq: u64,
     /// Terms of the seats that own seats' wants have taken into account.
@@ -429,6 +431,7 @@
             counts: Counts::default(),
             refusals: BTreeMap::new(),
             refusals_at: Micros::ZERO,
+            told_health: None,
             seq: 0,
             told_terms: vec![0; count],
             dirty_jobs: BTreeSet::new(),
--- a/src/controller/quota.rs
+++ b/src/controller/quota.rs
@@ -113,8 +113,17 @@
     /// and what other seats lack, both by rank.
     ///
     /// The more urgent goes first, equals share what is free. What is neither
-    /// used nor needed for work as urgent as the others' goes back.
-    pub fn wanted(&self, seat: usize, used: Amount, waits: &[Need], others: &[Need]) -> Amount {
+    /// used nor needed for work as urgent as the others' goes back. A seat that
+    /// asks at all asks for one of `seats` equal parts, as far as that is free: a
+    /// change for every job that comes would take writes from their acceptances.
+    pub fn wanted(
+        &self,
+        seat: usize,
+        seats: usize,
+        used: Amount,
+        waits: &[Need],
+        others: &[Need],
+    ) -> Amount {
         let now = self.grants.get(&seat).copied().unwrap_or_default();
         let free = self.free();
         [0, 1].map(|r| {
@@ -122,13 +131,19 @@
                 return now[r];
             }
             let lacking = |n: &&Need| n.amount[r] > EPS;
-            let theirs = others.iter().filter(lacking).map(|n| n.rank).min();
+            let lack: f64 = others.iter().filter(lacking).map(|n| n.amount[r]).sum();
+            // What is free does for all: nothing need be kept or given back.
+            let plenty = free[r] - lack > EPS;
+            let theirs = others.iter().filter(lacking).map(|n| n.rank).min().filter(|_| !plenty);
             let counts = |n: &&Need| n.amount[r] > EPS && theirs.is_none_or(|t| n.rank <= t);
             let ours = waits.iter().filter(counts).map(|n| n.rank).min();
             let wish = used[r] + waits.iter().filter(counts).map(|n| n.amount[r]).sum::<f64>();
             let equals = others.iter().filter(lacking).filter(|n| Some(n.rank) == ours).count();
             let share = 1.0 / (equals + 1) as f64;
-            if wish > now[r] + EPS {
+            if wish > now[r] + EPS && plenty {
+                let ask = wish.max(self.limit[r] / seats.max(1) as f64) - now[r];
+                now[r] + ask.min(free[r] - lack)
+            } else if wish > now[r] + EPS {
                 let equal = self.limit[r] * share;
                 if equals > 0 && free[r] < EPS && now[r] > equal.max(used[r]) + EPS {
                     return equal.max(used[r]);
--- a/src/controller/quotas.rs
+++ b/src/controller/quotas.rs
@@ -88,6 +88,7 @@
         }
         let mark = self.seats[s].mine.as_ref().map_or(0, |m| m.mark);
         let (waits, used) = (self.seat_waits(s, team), self.seat_usage(s, team));
+        let seats = self.seats.len();
         let all: Vec<&QuotaNeed> = self
             .peers
             .iter()
@@ -107,7 +108,7 @@
             return;
         }
         let now = q.grants.get(&s).copied().unwrap_or_default();
-        let wanted = q.wanted(s, used, &waits, &others);
+        let wanted = q.wanted(s, seats, used, &waits, &others);
         if (0..2).all(|r| (wanted[r] - now[r]).abs() < EPS) {
             return;
         }
