--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -1,19 +1,15 @@
 //! What users and workers ask: routing, submissions, polls, cancellations.
 
-use super::job::{self, Job, JobRecord, StoredStage};
+use super::accept::ACCEPT_PUTS;
+use super::job::{self, JobRecord, StoredStage};
 use super::{Controller, Effect, Known, Op, Ticket};
 use crate::state::{StateCall, StateReply};
-use crate::time::Micros;
 use crate::wire::{self, Condition, JobAnswer, JobSpec, JobStage, Refusal, Txn, Write, path};
 use log::info;
 use serde::Serialize;
 use serde_json::json;
 use std::rc::Rc;
 
-/// How long after a submission others are expected.
-const ACCEPTING: Micros = Micros::millis(500);
-/// Changes that an acceptance makes.
-const ACCEPT_PUTS: usize = 2;
 /// Seconds for which users wait, with some left for the way.
 const LISTENS_S: f64 = 3.0;
 /// Times that a cancellation is tried anew when something came in between.
@@ -121,7 +117,7 @@
     }
 
     /// The seat that accepts new jobs here: the home seat if it is held.
-    fn accepting_seat(&self) -> Option<usize> {
+    pub(super) fn accepting_seat(&self) -> Option<usize> {
         if self.runs(self.me) {
             return Some(self.me);
         }
@@ -157,9 +153,12 @@
             self.note_refusal(422, reason);
             return self.read_or(ticket, &spec.id, 422, None, &Refusal::new(reason));
         }
-        let Some(seat) = self.accepting_seat() else {
+        if self.accepting_seat().is_none() {
             return self.later(ticket, 503, "no seat is held");
-        };
+        }
+        if self.acceptance.holds(&spec.id) {
+            return self.later(ticket, 503, "undecided");
+        }
         let queued: usize = self.jobs.values().map(|j| j.spec.tasks as usize).sum();
         if self.submissions >= self.most_submissions() {
             return self.later(ticket, 429, "too many submissions wait");
@@ -177,32 +176,8 @@
             let answer = Refusal { error: "description too long", field: Some("") };
             return self.read_or(ticket, &spec.id, 400, None, &answer);
         }
-        let Some(mine) = self.seats[seat].mine.clone() else {
-            return self.later(ticket, 503, "no seat is held");
-        };
-        let spec = Rc::new(spec);
-        let accepted = self.wall();
-        let mut job = Job::new(Rc::clone(&spec), seat, 0, accepted, self.part_size);
-        job.parts[0].version = 1;
-        let record = JobRecord { seat, stage: StoredStage::Accepted, tasks: spec.tasks };
-        let (record_key, part_key) = (job::job_key(&spec.id), job::part_key(seat, &spec.id, 0));
-        let txn = Txn {
-            conditions: vec![
-                Condition { key: record_key.clone(), version: 0 },
-                Condition { key: part_key.clone(), version: 0 },
-                Condition { key: super::seat::hold_key(seat), version: mine.mark },
-            ],
-            writes: vec![
-                Write::Put { key: record_key, value: json!(record), lease: None },
-                Write::Put { key: part_key, value: job.encode_part(0), lease: None },
-            ],
-        };
         self.submissions += 1;
-        self.accepting_until = self.now + ACCEPTING;
-        self.state(
-            Op::Submit { ticket, spec, seat, term: mine.term, accepted },
-            StateCall::Txn(txn),
-        );
+        self.arrive(ticket, Rc::new(spec), size);
     }
 
     /// Submissions that may wait for the store: no more than it can take while
@@ -233,7 +208,7 @@
 
     /// Answers with the job's state if it is known to the store, and with the
     /// given answer if not.
-    fn read_or(
+    pub(super) fn read_or(
         &mut self,
         ticket: Ticket,
         id: &str,
@@ -319,9 +294,8 @@
 
     pub(super) fn api_reply(&mut self, op: Op, reply: StateReply) {
         match op {
-            Op::Submit { ticket, spec, seat, term, accepted } => {
-                self.submissions = self.submissions.saturating_sub(1);
-                self.submit_reply(ticket, spec, seat, term, accepted, reply);
+            Op::Accept { list, seat, term, bundle } => {
+                self.accept_reply(list, seat, term, bundle, reply);
             }
             Op::SubmitRead { ticket, job, otherwise } => match self.read_record(&job, &reply) {
                 Some(Some((known, _))) => {
@@ -389,53 +363,4 @@
             _ => {}
         }
     }
-
-    fn submit_reply(
-        &mut self,
-        ticket: Ticket,
-        spec: Rc<JobSpec>,
-        seat: usize,
-        term: u64,
-        accepted: Micros,
-        reply: StateReply,
-    ) {
-        match reply {
-            StateReply::Applied(mark) => {
-                info!(
-                    "job {} accepted: {} tasks of {}, team {}",
-                    spec.id, spec.tasks, spec.class, spec.team
-                );
-                let took = self.wall().since(accepted).as_millis();
-                log::debug!("job {} was written {took} ms after it had come", spec.id);
-                self.counts.accepted += 1;
-                let known = Known { stage: StoredStage::Accepted, seat, tasks: spec.tasks };
-                self.note_known(&spec.id, known);
-                let cancelled =
-                    self.known.get(&spec.id).is_some_and(|k| k.stage == StoredStage::Cancelled);
-                // The seat may have been lost meanwhile; whoever has it reads the job.
-                let held = self.seats[seat].mine.as_ref().is_some_and(|m| m.term == term);
-                if held && !self.jobs.contains_key(&spec.id) {
-                    let mut job = Job::new(Rc::clone(&spec), seat, mark, accepted, self.part_size);
-                    let part = &mut job.parts[0];
-                    (part.version, part.stored, part.mark) = (1, 1, mark);
-                    job.cancelled = cancelled;
-                    self.dirty_jobs.insert(spec.id.clone());
-                    self.jobs.insert(spec.id.clone(), job);
-                    self.place_wanted = true;
-                }
-                let answer =
-                    JobAnswer { id: &spec.id, stage: JobStage::Queued, done: 0, running: 0 };
-                self.respond(ticket, 201, None, &answer);
-            }
-            StateReply::Conflict(failed) => {
-                if failed.iter().any(|k| *k == super::seat::hold_key(seat)) {
-                    self.suspect_seat(seat, term);
-                }
-                let otherwise = Refusal::new("undecided");
-                self.read_or(ticket, &spec.id, 503, Some(1), &otherwise);
-            }
-            // It may still be applied; the watch then shows the job.
-            _ => self.later(ticket, 503, "state service away"),
-        }
-    }
 }
--- a/src/controller/job.rs
+++ b/src/controller/job.rs
@@ -51,6 +51,29 @@
     format!("w/{seat}/{id}/{part}")
 }
 
+/// Key of descriptions of jobs that were accepted together. The term and the
+/// number make it unique; jobs' ids never begin like it.
+pub fn bundle_key(seat: usize, term: u64, number: u64) -> String {
+    format!("w/{seat}/_{term}-{number}/0")
+}
+
+/// Whether a name in a key under `w/S/` is a bundle's instead of a job's.
+pub fn is_bundle(name: &str) -> bool {
+    name.starts_with('_')
+}
+
+/// The value of a bundle: part 0 of each of its jobs, as it would stand alone.
+pub fn encode_bundle(parts: Vec<Value>) -> Value {
+    serde_json::json!({ "jobs": parts })
+}
+
+/// The jobs of a bundle with their part 0; what cannot be read is left out.
+pub fn decode_bundle(value: &Value) -> Vec<(String, Value)> {
+    let parts = value.get("jobs").and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+    let read = |v: &Value| Some((StoredPart::deserialize(v).ok()?.s?.id, v.clone()));
+    parts.iter().filter_map(read).collect()
+}
+
 /// Job and part of a key under `w/S/`.
 pub fn parse_part_key(key: &str) -> Option<(&str, usize)> {
     let mut fields = key.split('/').skip(2);
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -16,6 +16,7 @@
 pub mod seat;
 pub mod slots;
 
+mod accept;
 mod api;
 mod holder;
 mod owner;
@@ -29,7 +30,7 @@
 use crate::peer::{self, Frame, MachineView, SeatWants, WantedTask};
 use crate::state::{Bucket, StateCall, StateReply, WRITE_SHARE};
 use crate::time::Micros;
-use crate::wire::{JobSpec, JobStage, MachineType};
+use crate::wire::{JobStage, MachineType};
 use fleet::Fleet;
 use image::ImageIndex;
 use job::{Job, StoredStage};
@@ -184,7 +185,8 @@
     Release { seat: usize },
     Load { seat: usize, term: u64 },
     LoadJob { seat: usize, term: u64, job: String },
-    Submit { ticket: Ticket, spec: Rc<JobSpec>, seat: usize, term: u64, accepted: Micros },
+    Accept { list: Vec<accept::Arrival>, seat: usize, term: u64, bundle: Option<String> },
+    DropBundle { key: String, term: u64 },
     SubmitRead { ticket: Ticket, job: String, otherwise: (u16, Option<u64>, Vec<u8>) },
     Poll { ticket: Ticket, job: String },
     CancelRead { ticket: Ticket, job: String, tries: u32 },
@@ -298,6 +300,7 @@
     by_machine: BTreeMap<(usize, Rc<str>), TaskSet>,
     part_size: job::PartSize,
     submissions: usize,
+    acceptance: accept::Acceptance,
     /// Submissions came a moment ago: more may, and writes leave them a share.
     accepting_until: Micros,
 
@@ -403,6 +406,7 @@
             by_machine: BTreeMap::new(),
             part_size: job::PartSize::new(config.settings.state.value_kb),
             submissions: 0,
+            acceptance: accept::Acceptance::default(),
             accepting_until: Micros::ZERO,
             wants: vec![HeardWants::default(); count],
             slots: slots::Slots::default(),
@@ -487,7 +491,7 @@
     fn reply(&mut self, op: Op, reply: Reply) {
         match reply {
             Reply::State(r) => match op {
-                Op::Submit { .. }
+                Op::Accept { .. }
                 | Op::SubmitRead { .. }
                 | Op::Poll { .. }
                 | Op::CancelRead { .. }
@@ -495,6 +499,7 @@
                 Op::Store { .. } | Op::Recheck { .. } | Op::RecheckParts { .. } => {
                     self.store_reply(op, r)
                 }
+                Op::DropBundle { key, term } => self.bundle_reply(&key, term, r),
                 Op::QuotaList | Op::QuotaRead { .. } | Op::QuotaWrite { .. } => {
                     self.quota_reply(op, r)
                 }
@@ -511,6 +516,7 @@
 
     fn tick(&mut self) {
         self.tend_seats();
+        self.tend_waiting();
         self.send_hellos();
         if self.now >= self.tend_at {
             self.tend_at = self.now + Micros::millis(250);
@@ -541,6 +547,7 @@
     pub fn flush(&mut self, now: Micros, out: &mut Vec<Effect>) {
         self.now = now;
         if self.acting() {
+            self.accept_waiting();
             self.tell_terms();
             self.place();
             self.store_dirty();
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -351,6 +351,9 @@
     /// write and ends of whole jobs first, by rank; what nobody waits for later,
     /// together, and only from a share that is not needed for the others.
     pub(super) fn store_dirty(&mut self) {
+        if self.puts.level(self.now) > 1.0 + self.puts.burst() / 2.0 {
+            self.drop_bundle();
+        }
         if self.dirty_jobs.is_empty() || self.stores >= STORES || !self.acting() {
             return;
         }
@@ -477,6 +480,7 @@
     fn forget_job(&mut self, id: &str) {
         self.dirty_jobs.remove(id);
         self.refresh_job_wants(id);
+        self.acceptance.unbundle(id);
         if let Some(job) = self.jobs.remove(id) {
             let machines: Vec<(usize, Rc<str>)> = self
                 .by_machine
@@ -653,6 +657,9 @@
         for n in drops {
             job.parts[*n].mark = 0;
         }
+        if parts.iter().any(|(n, _)| *n == 0) {
+            self.acceptance.unbundle(id);
+        }
         if done {
             info!("job {id} done: {} tasks", job.spec.tasks);
             job.over = true;
--- a/src/controller/seats.rs
+++ b/src/controller/seats.rs
@@ -9,6 +9,7 @@
 use log::{info, warn};
 use rand::RngExt;
 use serde_json::Value;
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How long a watch waits for changes.
@@ -29,6 +30,8 @@
     todo: BTreeSet<String>,
     asked: BTreeSet<String>,
     records: BTreeMap<String, (Option<JobRecord>, u64)>,
+    /// Descriptions from bundles: key and version of the bundle, and part 0.
+    bundled: BTreeMap<String, (String, u64, Value)>,
 }
 
 /// A watch.
@@ -174,6 +177,7 @@
         self.loads.remove(&s);
         self.jobs.retain(|_, j| j.seat != s);
         self.by_machine.retain(|(seat, _), _| *seat != s);
+        self.lose_bundles(s);
         self.dirty_wants.retain(|(seat, _)| *seat != s);
         self.complete_wants.remove(&s);
         let seats = self.seats.len();
@@ -419,8 +423,9 @@
         if s >= self.seats.len() || !self.runs(s) || self.jobs.contains_key(id) {
             return;
         }
-        let under_way =
-            self.ops.values().any(|op| matches!(op, Op::Submit { spec, .. } if spec.id == id));
+        let under_way = self.ops.values().any(
+            |op| matches!(op, Op::Accept { list, .. } if list.iter().any(|a| a.spec.id == id)),
+        );
         if under_way {
             return;
         }
@@ -484,13 +489,19 @@
             }
             return;
         };
-        let new: Vec<(String, usize, Item)> = items
-            .iter()
-            .filter_map(|i| {
-                let (id, part) = job::parse_part_key(&i.key)?;
-                (!known(id, self)).then(|| (id.to_string(), part, i.clone()))
-            })
-            .collect();
+        let (mut new, mut bundled) = (Vec::new(), Vec::new());
+        for i in &items {
+            let Some((id, part)) = job::parse_part_key(&i.key) else {
+                continue;
+            };
+            if job::is_bundle(id) {
+                let jobs = job::decode_bundle(&i.value).into_iter();
+                let unknown = jobs.filter(|(id, _)| !known(id, self));
+                bundled.extend(unknown.map(|(id, v)| (id, (i.key.clone(), i.version, v))));
+            } else if !known(id, self) {
+                new.push((id.to_string(), part, i.clone()));
+            }
+        }
         let Some(l) = self.loads.get_mut(&s).filter(|l| l.term == term) else {
             return;
         };
@@ -501,6 +512,10 @@
             l.todo.insert(id.clone());
             l.parts.entry(id).or_default().insert(part, (item.value, item.version));
         }
+        for (id, found) in bundled {
+            l.todo.insert(id.clone());
+            l.bundled.insert(id, found);
+        }
         self.tend_load(s);
     }
 
@@ -526,9 +541,22 @@
     }
 
     fn loaded(&mut self, s: usize) {
-        let Some(l) = self.loads.remove(&s) else {
+        let Some(mut l) = self.loads.remove(&s) else {
             return;
         };
+        // A job's own part 0 is newer than what it was accepted with.
+        let mut bundles: BTreeMap<(String, u64), BTreeSet<String>> = BTreeMap::new();
+        for (id, (key, version, value)) in l.bundled {
+            let jobs = bundles.entry((key, version)).or_default();
+            let parts = l.parts.entry(id.clone()).or_default();
+            if let Entry::Vacant(first) = parts.entry(0) {
+                first.insert((value, 0));
+                jobs.insert(id);
+            }
+        }
+        for ((key, version), jobs) in bundles {
+            self.acceptance.bundle(&key, s, version, jobs);
+        }
         let mut count = 0;
         for (id, parts) in l.parts {
             if self.jobs.contains_key(&id) {
@@ -536,6 +564,7 @@
             }
             let Some((Some(record), mark)) = l.records.get(&id).copied() else {
                 warn!("tasks of job {id} without a record");
+                self.acceptance.unbundle(&id);
                 continue;
             };
             self.note_known(
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -174,7 +174,8 @@
     handle
         .insert_source(timer, |_, _, rt: &mut Runtime| {
             rt.tick();
-            let wait = if rt.throttled.iter().all(VecDeque::is_empty) { 50 } else { 10 };
+            let hurry = rt.controller.accepting() || rt.throttled.iter().any(|q| !q.is_empty());
+            let wait = if hurry { 10 } else { 50 };
             TimeoutAction::ToDuration(std::time::Duration::from_millis(wait))
         })
         .map_err(|e| io::Error::other(e.to_string()))?;
