Bound command sockets and buffers, act by the clock as it is, keep types for restarts

Sockets reached the limit (3,092 and 4,317) with kept command connections; they now give way to senders. A peer that stands still could hold 8 MB a link; now a sixteenth of the memory. A gap between timers no longer times out calls whose answers lie unread, and every turn acts by the clock read after it.

--- a/src/controller/accept.rs
+++ b/src/controller/accept.rs
@@ -108,6 +108,12 @@
         self.acceptance.len() > 0
     }
 
+    /// Changes that others leave to acceptances: while submissions come, their
+    /// users wait for them.
+    pub(super) fn accept_reserve(&self) -> f64 {
+        if self.now < self.accepting_until { self.puts.burst() / 2.0 } else { 0.0 }
+    }
+
     /// Sends waiting submissions to the state service: one by one while there is
     /// plenty of this node's share, together where there is not.
     pub(super) fn accept_waiting(&mut self) {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -199,6 +199,8 @@
     QuotaWrite { team: String, value: Value },
     Direct { machine: String, starts: Vec<Key>, term: u64 },
     Types,
+    StoreTypes,
+    StoredTypes,
     Rent { term: u64 },
     Return { names: Vec<String> },
     ListMachines { asked: Micros, term: u64 },
@@ -292,6 +294,10 @@
     follow: BTreeMap<Watch, seats::Following>,
 
     types: BTreeMap<String, MachineType>,
+    /// They are being read from the state service, since the cloud is away.
+    types_reading: bool,
+    /// Term of the renting seat under which they were written down.
+    types_stored: u64,
     known: BTreeMap<String, Known>,
     known_order: VecDeque<String>,
     jobs: BTreeMap<String, Job>,
@@ -399,6 +405,8 @@
             loads: BTreeMap::new(),
             follow: BTreeMap::new(),
             types: BTreeMap::new(),
+            types_reading: false,
+            types_stored: 0,
             known: BTreeMap::new(),
             known_order: VecDeque::new(),
             jobs: BTreeMap::new(),
@@ -499,6 +507,7 @@
                 Op::Store { .. } | Op::Recheck { .. } | Op::RecheckParts { .. } => {
                     self.store_reply(op, r)
                 }
+                Op::StoreTypes | Op::StoredTypes => self.types_reply(op, r),
                 Op::DropBundle { key, term } => self.bundle_reply(&key, term, r),
                 Op::QuotaList | Op::QuotaRead { .. } | Op::QuotaWrite { .. } => {
                     self.quota_reply(op, r)
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -359,8 +359,7 @@
         }
         let now = self.now;
         let level = self.puts.level(now);
-        // Users wait for their acceptances, which are asked for meanwhile.
-        let accepting = if now < self.accepting_until { self.puts.burst() / 2.0 } else { 0.0 };
+        let accepting = self.accept_reserve();
         let mut order: Vec<(Haste, u32, Micros, String)> = Vec::new();
         for id in &self.dirty_jobs {
             let Some(job) = self.jobs.get(id) else {
--- a/src/controller/renter.rs
+++ b/src/controller/renter.rs
@@ -1,11 +1,12 @@
 //! Talking to the cloud: types, lists, rents and returns.
 
 use super::fleet::{self, RENTING_SEAT, Rented, Room};
-use super::{Controller, Op};
+use super::{Controller, Op, seat};
 use crate::cloud::{CloudCall, CloudReply};
 use crate::peer::Demand;
+use crate::state::{StateCall, StateReply};
 use crate::time::Micros;
-use crate::wire::{ListedMachine, MachineStage, RentRequest};
+use crate::wire::{Condition, ListedMachine, MachineStage, MachineType, RentRequest, Txn, Write};
 use log::{info, warn};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -16,6 +17,8 @@
 const PLAN_EVERY: Micros = Micros::millis(1_000);
 /// Between looks at the types and their prices.
 const TYPES_EVERY: Micros = Micros::secs(300);
+/// Where the types are written down.
+const TYPES_KEY: &str = "types";
 /// A machine must have been spared by the placers for this long before it is
 /// returned: a decision made before the news of it may still be on its way.
 const DRAIN: Micros = Micros::secs(4);
@@ -47,6 +50,7 @@
         }
         if self.fleet.listed && !self.types.is_empty() && now >= self.fleet.plan_at {
             self.fleet.plan_at = now + PLAN_EVERY;
+            self.store_types();
             self.plan_returns();
             if self.fleet.request.is_none() {
                 self.plan_rent(term);
@@ -169,14 +173,15 @@
         let now = self.now;
         match (op, reply) {
             (Op::Types, CloudReply::Types(types)) => {
-                if self.types.is_empty() {
-                    info!("{} machine types known", types.len());
+                self.take_types(types);
+            }
+            (Op::Types, _) => {
+                self.fleet.types_at = now + Micros::secs(1);
+                if self.types.is_empty() && !self.types_reading {
+                    self.types_reading = true;
+                    self.state(Op::StoredTypes, StateCall::Get(TYPES_KEY.into()));
                 }
-                self.types = types.into_iter().map(|t| (t.name.clone(), t)).collect();
-                self.place_wanted = true;
-                self.dirty_posts.extend(self.posts.keys().cloned());
             }
-            (Op::Types, _) => self.fleet.types_at = now + Micros::secs(1),
             (Op::Rent { term }, reply) => {
                 if self.my_term(RENTING_SEAT) == Some(term) {
                     self.rent_reply(reply);
@@ -204,6 +209,54 @@
         }
     }
 
+    fn take_types(&mut self, types: Vec<MachineType>) {
+        if self.types.is_empty() {
+            info!("{} machine types known", types.len());
+        }
+        self.types = types.into_iter().map(|t| (t.name.clone(), t)).collect();
+        self.place_wanted = true;
+        self.dirty_posts.extend(self.posts.keys().cloned());
+    }
+
+    /// Writes the types down, once a holding of the renting seat: a process that
+    /// starts while the cloud is away could otherwise accept and place nothing.
+    fn store_types(&mut self) {
+        let Some(mine) = self.seats[RENTING_SEAT].mine.as_ref().filter(|_| self.acting()) else {
+            return;
+        };
+        let (mark, term) = (mine.mark, mine.term);
+        let list: Vec<&MachineType> = self.types.values().collect();
+        let value = serde_json::json!(list);
+        let most = self.settings.state.value_kb * 1024.0;
+        if self.types_stored == term || value.to_string().len() as f64 > most {
+            return;
+        }
+        self.types_stored = term;
+        let txn = Txn {
+            conditions: vec![Condition { key: seat::hold_key(RENTING_SEAT), version: mark }],
+            writes: vec![Write::Put { key: TYPES_KEY.into(), value, lease: None }],
+        };
+        self.state(Op::StoreTypes, StateCall::Txn(txn));
+    }
+
+    pub(super) fn types_reply(&mut self, op: Op, reply: StateReply) {
+        match (op, reply) {
+            (Op::StoredTypes, StateReply::Value(Some(item))) => {
+                self.types_reading = false;
+                // What the cloud itself said meanwhile is newer.
+                if self.types.is_empty()
+                    && let Ok(types) = serde_json::from_value(item.value)
+                {
+                    self.take_types(types);
+                }
+            }
+            (Op::StoredTypes, _) => self.types_reading = false,
+            (Op::StoreTypes, StateReply::Applied(_)) => {}
+            // Tried again with the next plan.
+            _ => self.types_stored = 0,
+        }
+    }
+
     fn rent_reply(&mut self, reply: CloudReply) {
         let now = self.now;
         self.fleet.busy = false;
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -27,14 +27,30 @@
 const CONNECT: Micros = Micros::millis(1_500);
 /// Between attempts to reach a peer.
 const PEER_RETRY: Micros = Micros::millis(300);
-/// What may wait to be written to a peer before its connection is given up.
-const PEER_BACKLOG: usize = 2 * peer::MAX_FRAME;
+/// Part of the memory that may wait to be written to one peer.
+const PEER_BACKLOG: f64 = 1.0 / 16.0;
 /// Connections to the state service for calls that do not wait.
 const STATE_CONNECTIONS: usize = 8;
 /// Calls that may wait for the state service's rate.
 const STATE_QUEUE: usize = 512;
-/// Sockets kept for everything but users and workers.
+/// Connections that may wait to be accepted: after a restart the whole fleet
+/// and all users come at once. The system may allow fewer.
+const BACKLOG: i32 = 4_096;
+/// Sockets kept for listening, the state service, the cloud and peers.
 const RESERVED_SOCKETS: usize = 24;
+/// Part of the sockets that commands to workers may take, and part that they
+/// leave free for senders. A connection for reports and one for commands for
+/// every machine would not fit on one node that runs the whole fleet.
+const COMMAND_SOCKETS: usize = 3;
+const SENDER_SPARE: usize = 16;
+/// Buffers of quiet connections above this are given back: thousands of them
+/// would hold what each once needed.
+const QUIET_BUFFER: usize = 512;
+/// The timer fires every few milliseconds. After a gap like this the process
+/// stood still: answers may lie unread, and their calls are not timed out yet.
+const STOOD_STILL: Micros = Micros::secs(1);
+/// How long it then has to read them.
+const PATIENCE: Micros = Micros::millis(500);
 
 type ConnId = u64;
 
@@ -95,6 +111,8 @@
     close_after: bool,
     /// Last time that something arrived.
     active: Micros,
+    /// Since when it has had nothing to do, for connections with commands.
+    idle_since: Option<Micros>,
     /// When the message that is arriving began. A sender that drips its bytes
     /// is always active and would never be cut by that.
     begun: Micros,
@@ -133,6 +151,16 @@
     conns: HashMap<ConnId, Conn>,
     next_conn: ConnId,
     senders: usize,
+    /// Connections for commands to workers.
+    commanding: usize,
+    /// Those of them that have nothing to do, the one idle for longest first.
+    commands_idle: BTreeSet<(Micros, ConnId)>,
+    /// Bytes that may wait for a peer.
+    peer_backlog: usize,
+    /// When the timer last fired.
+    ticked: Micros,
+    /// Calls are not timed out before this.
+    patient: Micros,
     pools: HashMap<Place, Pool>,
     calls: HashMap<CallId, Call>,
     deadlines: BTreeSet<(Micros, CallId)>,
@@ -198,6 +226,11 @@
         conns: HashMap::new(),
         next_conn: 1,
         senders: 0,
+        commanding: 0,
+        commands_idle: BTreeSet::new(),
+        peer_backlog: peer_backlog(config.settings.machine_limits.mem_mb),
+        ticked: Micros::secs(1),
+        patient: Micros::ZERO,
         pools: HashMap::new(),
         calls: HashMap::new(),
         deadlines: BTreeSet::new(),
@@ -220,6 +253,13 @@
     event_loop.run(None, &mut runtime, |rt| rt.settle()).map_err(io::Error::other)
 }
 
+/// What may wait to be written to a peer before its connection is given up: a
+/// part of the memory, since a peer that stands still reads nothing. It holds a
+/// frame of any size that peers take.
+fn peer_backlog(mem_mb: f64) -> usize {
+    ((mem_mb * 1024.0 * 1024.0 * PEER_BACKLOG) as usize).clamp(peer::MAX_FRAME, 2 * peer::MAX_FRAME)
+}
+
 /// The time of day, less the second at which the steady clock begins.
 fn time_of_day() -> Micros {
     let since =
@@ -235,7 +275,7 @@
     socket.set_nonblocking(true)?;
     socket
         .bind(&SocketAddr::V4(address).into())
-        .and_then(|()| socket.listen(512))
+        .and_then(|()| socket.listen(BACKLOG))
         .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))?;
     Ok(socket.into())
 }
@@ -254,6 +294,14 @@
     Ok(socket.into())
 }
 
+/// Removes what has been read; a buffer that is empty then is given back.
+fn take_front(buffer: &mut Vec<u8>, used: usize) {
+    buffer.drain(..used);
+    if buffer.is_empty() && buffer.capacity() > QUIET_BUFFER {
+        *buffer = Vec::new();
+    }
+}
+
 impl Runtime {
     fn clock(&mut self) -> Micros {
         let us = u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX / 8);
@@ -273,8 +321,10 @@
                 Ok(PostAction::Continue)
             })
             .map_err(|e| io::Error::other(e.to_string()))?;
-        if matches!(role, Role::Sender { .. }) {
-            self.senders += 1;
+        match role {
+            Role::Sender { .. } => self.senders += 1,
+            Role::Client { place: Place::Worker(_), .. } => self.commanding += 1,
+            _ => {}
         }
         self.conns.insert(
             id,
@@ -288,6 +338,7 @@
                 written: 0,
                 close_after: false,
                 active: self.now,
+                idle_since: None,
                 begun: self.now,
             },
         );
@@ -303,7 +354,8 @@
                 Err(_) => return,
             };
             let limit = self.config.settings.machine_limits.fd_limit;
-            if !for_peers && self.senders + RESERVED_SOCKETS + self.pools.len() >= limit {
+            let full = self.senders + self.commanding + RESERVED_SOCKETS >= limit;
+            if !for_peers && full && !self.close_idle_command() {
                 self.stats.refused_connections += 1;
                 continue;
             }
@@ -413,7 +465,7 @@
         match http::parse_request(&conn.inbound) {
             Ok(None) => false,
             Ok(Some((request, used))) => {
-                conn.inbound.drain(..used);
+                take_front(&mut conn.inbound, used);
                 conn.close_after |= request.close;
                 let reports = request.path == crate::wire::path::REPORT;
                 conn.role = Role::Sender { busy: true, since: self.now, reports };
@@ -456,7 +508,7 @@
         match http::parse_answer(&conn.inbound) {
             Ok(None) => false,
             Ok(Some((answer, used))) => {
-                conn.inbound.drain(..used);
+                take_front(&mut conn.inbound, used);
                 let Some(call_id) = call else {
                     // An answer to nothing: the connection is out of step.
                     self.close(id);
@@ -466,6 +518,10 @@
                 if answer.close || !conn.inbound.is_empty() {
                     self.close(id);
                 } else {
+                    if matches!(place, Place::Worker(_)) {
+                        conn.idle_since = Some(self.now);
+                        self.commands_idle.insert((self.now, id));
+                    }
                     self.pools.entry(place).or_default().idle.push(id);
                 }
                 self.finish(call_id, Some(answer), false);
@@ -562,8 +618,12 @@
         }
         conn.outbound.clear();
         conn.written = 0;
-        if conn.outbound.capacity() > 256 * 1024 {
-            conn.outbound.shrink_to(4 * 1024);
+        let kept = match conn.role {
+            Role::PeerIn { .. } | Role::PeerOut { .. } => 256 * 1024,
+            _ => QUIET_BUFFER,
+        };
+        if conn.outbound.capacity() > kept {
+            conn.outbound = Vec::new();
         }
         if conn.close_after && !matches!(conn.role, Role::Sender { busy: true, .. }) {
             self.close(id);
@@ -588,6 +648,12 @@
                 }
             }
             Role::Client { place, call } => {
+                if matches!(place, Place::Worker(_)) {
+                    self.commanding -= 1;
+                }
+                if let Some(since) = conn.idle_since {
+                    self.commands_idle.remove(&(since, id));
+                }
                 let pool = self.pools.entry(place).or_default();
                 pool.open = pool.open.saturating_sub(1);
                 pool.idle.retain(|c| *c != id);
@@ -720,6 +786,23 @@
         self.pump(place);
     }
 
+    /// Whether a further connection with commands may be made; one that has been
+    /// idle for long makes room for it. Senders always find some room.
+    fn room_for_command(&mut self) -> bool {
+        let limit = self.config.settings.machine_limits.fd_limit;
+        let used = self.senders + self.commanding + RESERVED_SOCKETS + limit / SENDER_SPARE;
+        (self.commanding < limit / COMMAND_SOCKETS && used < limit) || self.close_idle_command()
+    }
+
+    /// Closes the connection with commands that has been idle for longest.
+    fn close_idle_command(&mut self) -> bool {
+        let oldest = self.commands_idle.first().copied();
+        if let Some((_, id)) = oldest {
+            self.close(id);
+        }
+        oldest.is_some()
+    }
+
     /// Gives waiting calls of a place to its connections.
     fn pump(&mut self, place: Place) {
         loop {
@@ -736,6 +819,15 @@
             let conn = match pool.idle.pop() {
                 Some(c) => c,
                 None if pool.open < most => {
+                    if matches!(place, Place::Worker(_)) && !self.room_for_command() {
+                        // Surely not sent; the worker's next report takes it along.
+                        let queue = self.pools.remove(&place).map(|p| p.queue);
+                        for id in queue.unwrap_or_default() {
+                            self.finish(id, None, true);
+                        }
+                        return;
+                    }
+                    let pool = self.pools.entry(place).or_default();
                     pool.open += 1;
                     let address = match place {
                         Place::State | Place::Watch | Place::Lease => self.config.endpoints.state,
@@ -765,6 +857,9 @@
             let (Some(call), Some(c)) = (self.calls.get_mut(&id), self.conns.get_mut(&conn)) else {
                 continue;
             };
+            if let Some(since) = c.idle_since.take() {
+                self.commands_idle.remove(&(since, conn));
+            }
             call.conn = Some(conn);
             c.role = Role::Client { place, call: Some(id) };
             c.active = self.now;
@@ -819,7 +914,7 @@
         if !conn.connected {
             return;
         }
-        if conn.outbound.len() - conn.written > PEER_BACKLOG {
+        if conn.outbound.len() - conn.written > self.peer_backlog {
             debug!("peer {to} does not read; connection closed");
             self.close(id);
             return;
@@ -840,6 +935,27 @@
 
     fn tick(&mut self) {
         self.clock();
+        let stood = self.now.since(std::mem::replace(&mut self.ticked, self.now));
+        if stood > STOOD_STILL {
+            info!("this process stood still for {} ms", stood.as_millis());
+            self.patient = self.now + PATIENCE;
+        }
+        if self.now >= self.patient {
+            self.time_out();
+        }
+        let members: Vec<usize> = self.peers.keys().copied().collect();
+        for m in members {
+            self.tend_peer(m);
+        }
+        if self.now >= self.sweep && self.now >= self.patient {
+            self.sweep = self.now + Micros::secs(1);
+            self.sweep_connections();
+        }
+        self.dispatch(Event::Tick);
+    }
+
+    /// Ends the calls whose time is over.
+    fn time_out(&mut self) {
         while let Some((at, id)) = self.deadlines.first().copied() {
             if at > self.now {
                 break;
@@ -861,15 +977,6 @@
                 }
             }
         }
-        let members: Vec<usize> = self.peers.keys().copied().collect();
-        for m in members {
-            self.tend_peer(m);
-        }
-        if self.now >= self.sweep {
-            self.sweep = self.now + Micros::secs(1);
-            self.sweep_connections();
-        }
-        self.dispatch(Event::Tick);
     }
 
     fn tend_peer(&mut self, member: usize) {
@@ -927,6 +1034,9 @@
     /// After every turn of the loop: calls whose share has come, and one frame
     /// for each peer with all that has changed.
     fn settle(&mut self) {
+        // The turn may have been long, or the process may have stood still in
+        // it: what follows acts by the clock as it is now.
+        self.clock();
         for queue in 0..self.throttled.len() {
             while let Some(id) = self.throttled[queue].front().copied() {
                 let call = match self.calls.get(&id) {
@@ -968,6 +1078,7 @@
         page["connections"] = serde_json::json!({
             "open": self.conns.len(),
             "senders": self.senders,
+            "commands": self.commanding,
             "refused": self.stats.refused_connections,
             "bad_requests": self.stats.bad_requests,
             "state_calls_waiting": self.throttled.iter().map(VecDeque::len).sum::<usize>(),
--- a/src/state.rs
+++ b/src/state.rs
@@ -222,8 +222,13 @@
     }
 }
 
-/// Part of the state service's rates that is used; the rest is for renewals.
-pub const WRITE_SHARE: f64 = 0.9;
+/// Part of the state service's request rate that is used; the rest is for
+/// renewals, which are never held back.
+const CALL_SHARE: f64 = 0.9;
+
+/// Part of its rate of changes that is used; renewals are none, so what is left
+/// is for clocks that differ.
+pub const WRITE_SHARE: f64 = 0.97;
 
 /// This node's share of the state service's rates. The service counts all
 /// nodes together, so each takes an equal part and leaves a little unused for
@@ -238,7 +243,7 @@
     /// The share of one of `nodes` nodes.
     pub fn new(rps: f64, write_rps: f64, nodes: usize) -> Budget {
         let n = nodes.max(1) as f64;
-        let (calls, puts) = (rps * WRITE_SHARE / n, write_rps * WRITE_SHARE / n);
+        let (calls, puts) = (rps * CALL_SHARE / n, write_rps * WRITE_SHARE / n);
         Budget { calls: Bucket::new(calls, calls), puts: Bucket::new(puts, puts) }
     }
 
