--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -531,7 +531,7 @@
         let presses = entitled || rank <= URGENT;
         let gives = |b: &Booked| {
             let borrows = || beyond.iter().any(|t| *t == b.team);
-            let others = entitled && b.rank > URGENT && b.team != spec.team;
+            let others = entitled && b.rank == rank && b.team != spec.team;
             !b.stopping
                 && ((b.rank > rank && (presses || b.team == spec.team || borrows()))
                     || (others && borrows()))
