--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -39,6 +39,8 @@
     pub outages: Vec<(u64, u64)>,
     /// A controller alone cannot reach the state service.
     pub state_cuts: Vec<(usize, u64, u64)>,
+    /// A controller stands still while its clocks run on; what reaches it waits.
+    pub frozen: Vec<(usize, u64, u64)>,
     /// Two controllers cannot reach each other; frames are held.
     pub peer_cuts: Vec<(usize, usize, u64, u64)>,
     /// Frames from one controller to another are held; the other way is open.
@@ -344,7 +346,31 @@
         }
     }
 
+    /// Until when a controller stands still, if it does.
+    fn still(&self, node: usize) -> Option<Micros> {
+        let mut over = self.troubles.frozen.iter().filter(|f| f.0 == node);
+        over.find(|f| self.during(f.1, f.2)).map(|f| Micros::secs(f.2) + Micros(1))
+    }
+
     fn step(&mut self, ev: Ev) {
+        let reaches = match &ev {
+            Ev::Tick { node, .. } | Ev::Node { node, .. } | Ev::Copy { node, .. } => Some(*node),
+            Ev::Peer { to, .. } => Some(*to),
+            _ => None,
+        };
+        if let Some(until) = reaches.and_then(|node| self.still(node)) {
+            // Users are sent elsewhere; all else waits, in its order.
+            let user = match &ev {
+                Ev::Node { event: Event::Http { ticket, .. }, .. } => {
+                    !matches!(self.tickets.get(&ticket.0), Some(Origin::Worker { .. }))
+                }
+                _ => false,
+            };
+            if !user {
+                self.at(until, ev);
+            }
+            return;
+        }
         match ev {
             Ev::Start { node } => self.start(node),
             Ev::Crash { node } => {
@@ -888,6 +914,11 @@
     }
 
     /// Seats held by each controller that is up.
+    /// Keys in the state service that begin like this, now and ever.
+    pub fn stored(&self, prefix: &str) -> (usize, usize) {
+        self.store.count(prefix)
+    }
+
     pub fn seats(&self) -> Vec<usize> {
         self.nodes.iter().flatten().map(|n| n.controller.seats_held()).collect()
     }
--- a/tests/rehearsal/store.rs
+++ b/tests/rehearsal/store.rs
@@ -147,6 +147,15 @@
         })
     }
 
+    /// Keys that begin like this, now and ever.
+    pub fn count(&self, prefix: &str) -> (usize, usize) {
+        let now = self.keys.keys().filter(|k| k.starts_with(prefix)).count();
+        let puts = self.log.iter().filter_map(|c| c.put.as_ref());
+        let ever: std::collections::BTreeSet<&String> =
+            puts.filter(|k| k.starts_with(prefix)).collect();
+        (now, ever.len())
+    }
+
     /// Whether a job is stored as done.
     pub fn done(&self, job: &str) -> bool {
         self.keys.get(&format!("j/{job}")).is_some_and(|(value, _, _)| value["g"] == "d")
--- a/tests/three_controllers.rs
+++ b/tests/three_controllers.rs
@@ -171,6 +171,89 @@
     }
 }
 
+/// More submissions than changes: some are accepted together, and none of these is
+/// lost when its seat changes hands before the job stands on its own.
+#[test]
+fn many_submissions() {
+    let mut plans: Vec<Plan> = (0..90).map(|n| Plan::new(3 + n / 45, 2, 1.0, 4.0)).collect();
+    plans[7].cancel_at_s = Some(9);
+    plans[50].cancel_at_s = Some(12);
+    let table = [
+        ("quiet", Troubles::default()),
+        (
+            "all crash at once and again",
+            Troubles {
+                crashes: vec![(5, 3), (7, 1), (12, 3)],
+                back_ms: 300,
+                ..Troubles::default()
+            },
+        ),
+        (
+            "lost answers, late transactions, crashes",
+            Troubles {
+                crashes: vec![(6, 2), (9, 1)],
+                back_ms: 3_000,
+                lost: 0.1,
+                late: 0.7,
+                ..Troubles::default()
+            },
+        ),
+    ];
+    for (name, troubles) in table {
+        for seed in 300..304 {
+            let troubles = Troubles { writes: Some(20.0), ..troubles.clone() };
+            let world = until_done(name, seed, &plans, 400, &troubles);
+            let bundles = (0..3).map(|s| world.stored(&format!("w/{s}/_")));
+            let ever: usize = bundles.map(|(_, ever)| ever).sum();
+            assert!(ever > 0, "{name}, seed {seed}: none were accepted together");
+            let (left, _) = world.stored("w/");
+            assert_eq!(left, 0, "{name}, seed {seed}: descriptions of jobs that are over stay");
+        }
+    }
+}
+
+/// A controller stands still past its lease, or shorter, while its clocks run on,
+/// and then finds all that has come meanwhile.
+#[test]
+fn standing_still() {
+    let table = [
+        ("past the lease", vec![(0, 12, 45)], vec![]),
+        ("within the lease", vec![(1, 12, 19), (2, 30, 38), (0, 48, 55)], vec![]),
+        ("two, and the third crashes", vec![(0, 14, 50), (1, 20, 52)], vec![(30, 1)]),
+    ];
+    for (name, frozen, crashes) in table {
+        let troubles =
+            Troubles { frozen, crashes, back_ms: 300, copies: 0.05, ..Troubles::default() };
+        play(name, 310..314, 400, &troubles);
+        until_done(name, 315, &crowded(), 600, &troubles);
+    }
+}
+
+/// A third of the machines is lost at once while one controller is down, and all
+/// controllers are back within a fraction of a second in the middle of it.
+#[test]
+fn many_machines_lost() {
+    let blue = |at_s, tasks, cpus, run_s| {
+        let plan = Plan::new(at_s, tasks, cpus, run_s);
+        Plan { team: "blue", ..plan }
+    };
+    let plans = [blue(3, 500, 1.0, 8.0), blue(6, 400, 1.0, 12.0), blue(20, 60, 4.0, 9.0)];
+    let troubles = Troubles {
+        machines: Some(150),
+        writes: Some(60.0),
+        taken: (0..50).map(|w| (16, w)).collect(),
+        worker_cuts: (50..90).map(|w| (w, 17, 60, w % 3 == 0)).collect(),
+        crashes: vec![(15, 1), (18, 3), (19, 2)],
+        back_ms: 300,
+        copies: 0.05,
+        ..Troubles::default()
+    };
+    for seed in [320, 321] {
+        let world = until_done("a third lost", seed, &plans, 300, &troubles);
+        assert!(world.starts >= 960, "seed {seed}: only {} starts", world.starts);
+    }
+}
+
 #[test]
 fn crashes() {
     let table = [
