--- a/src/controller/holder.rs
+++ b/src/controller/holder.rs
@@ -168,7 +168,10 @@
             }
             heard.count(&m.tasks, 1.0);
             let h = super::seat::seat_of_machine(&m.machine, self.seats.len());
-            let known = message.terms.get(h).copied().unwrap_or(0);
+            let known = match m.known {
+                0 => message.terms.get(h).copied().unwrap_or(0),
+                known => known,
+            };
             let new = MachineHeard { seq: message.seq, known, tasks: m.tasks };
             if let Some(old) = heard.machines.insert(m.machine, new) {
                 heard.count(&old.tasks, -1.0);
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -375,6 +375,7 @@
     tend_at: Micros,
     demand_at: Micros,
     progress_at: Micros,
+    remind_at: Micros,
     quota_at: Micros,
 }
 
@@ -471,6 +472,7 @@
             tend_at: Micros::ZERO,
             demand_at: Micros::ZERO,
             progress_at: Micros::ZERO,
+            remind_at: Micros::ZERO,
             quota_at: Micros::ZERO,
             options,
         }
@@ -541,6 +543,7 @@
             self.tend_at = self.now + Micros::millis(250);
             self.tend_posts();
             self.tend_jobs();
+            self.remind_of_unseen();
             self.tend_asked();
             if self.now >= self.guarantees_at {
                 self.guarantees_at = self.now + Micros::secs(1);
@@ -811,9 +814,12 @@
                     .map(|(name, m)| peer::MachineWants {
                         machine: name.clone(),
                         tasks: m.tasks.clone(),
+                        // Machine by machine: one that nothing has been wanted on
+                        // since its seat moved would hold up all others of the seat.
+                        known: m.known,
                     })
                     .collect(),
-                terms: self.terms_behind(heard),
+                terms: Vec::new(),
             });
         }
         frame.views = self.posts.keys().filter_map(|m| self.views.get(m)).cloned().collect();
@@ -836,16 +842,6 @@
         frame
     }
 
-    /// The terms that all of some wants have taken into account.
-    fn terms_behind(&self, heard: &HeardWants) -> Vec<u64> {
-        let mut terms: Vec<u64> = self.seats.iter().map(|s| s.term).collect();
-        for (name, m) in &heard.machines {
-            let h = self.seat_of_machine(name);
-            terms[h] = terms[h].min(m.known);
-        }
-        terms
-    }
-
     /// A seat has a new term: what is wanted on its machines is said anew, with
     /// all that was concluded under the earlier one.
     fn tell_terms(&mut self) {
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -25,6 +25,8 @@
 const OVERDUE: Micros = Micros::secs(10);
 /// How long ends of tasks may wait for others to be written with.
 const LAZY: Micros = Micros::millis(2_500);
+/// How often wants are said again of tasks that have not been seen for as long.
+const REMIND: Micros = Micros::secs(8);
 /// Failures on different machines after which a job itself is suspected.
 const JOB_SUSPECT: u32 = 3;
 
@@ -331,6 +333,24 @@
         }
     }
 
+    /// Says again what is wanted of tasks that nobody has seen for long. Messages
+    /// between controllers need no answers, and one that was lost unnoticed would
+    /// leave its task, and its part of the team's limit, waiting for ever.
+    pub(super) fn remind_of_unseen(&mut self) {
+        if !self.acting() || self.now < self.remind_at {
+            return;
+        }
+        self.remind_at = self.now + REMIND;
+        let wall = self.wall();
+        let unseen = |p: &Placement| p.seen.is_none() && wall.since(p.at) > REMIND;
+        let mut machines: Vec<(usize, Rc<str>)> = Vec::new();
+        for job in self.jobs.values() {
+            let placed = job.parts.iter().flat_map(|part| part.placed.values());
+            machines.extend(placed.filter(|p| unseen(p)).map(|p| (job.seat, p.machine.clone())));
+        }
+        self.dirty_wants.extend(machines);
+    }
+
     /// Reads again how a job stands in the store.
     pub(super) fn recheck(&mut self, id: &str) {
         let Some(job) = self.jobs.get_mut(id) else {
@@ -775,7 +795,11 @@
                 .collect();
             let machines = machines
                 .iter()
-                .map(|m| MachineWants { machine: m.to_string(), tasks: self.wants_on(s, m, seq) })
+                .map(|m| MachineWants {
+                    machine: m.to_string(),
+                    tasks: self.wants_on(s, m, seq),
+                    known: 0,
+                })
                 .collect();
             let terms = terms.clone();
             messages.push(SeatWants { seat: s as u32, term, seq, complete: true, machines, terms });
@@ -792,7 +816,11 @@
             let seq = self.seq;
             let machines = machines
                 .iter()
-                .map(|m| MachineWants { machine: m.to_string(), tasks: self.wants_on(s, m, seq) })
+                .map(|m| MachineWants {
+                    machine: m.to_string(),
+                    tasks: self.wants_on(s, m, seq),
+                    known: 0,
+                })
                 .collect();
             let terms = terms.clone();
             messages.push(SeatWants {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -95,6 +95,10 @@
     /// The tasks.
     #[prost(message, repeated, tag = "2")]
     pub tasks: Vec<WantedTask>,
+    /// Term of the machine's seat that these wants have taken into account, where
+    /// they are repeated; 0: as the message says.
+    #[prost(uint64, tag = "3")]
+    pub known: u64,
 }
 
 /// A seat's wants: of some machines, or of all.
--- a/tests/three_controllers.rs
+++ b/tests/three_controllers.rs
@@ -250,6 +250,25 @@
     assert!(told < starts * 2 * 15, "{told} machines were named for {starts} starts");
 }
 
+/// Seats have moved, then the controllers are out of each other's reach while tasks
+/// are placed: what was wanted meanwhile is begun once they hear each other again.
+#[test]
+fn apart_after_moves() {
+    let blue = |at_s, tasks| Plan { team: "blue", ..Plan::new(at_s, tasks, 1.0, 5.0) };
+    // Every machine has had something of every seat before the seats move.
+    let mut plans: Vec<Plan> = (0..6).map(|n| blue(3 + n / 3, 60)).collect();
+    plans.extend((0..12).map(|n| blue(68 + n / 3, 3)));
+    let troubles = Troubles {
+        machines: Some(30),
+        state_cuts: vec![(1, 14, 30), (0, 34, 50)],
+        peer_cuts: vec![(0, 1, 70, 84), (0, 2, 70, 84), (1, 2, 70, 84)],
+        ..Troubles::default()
+    };
+    for seed in 340..346 {
+        until_done("moves, then apart", seed, &plans, 300, &troubles);
+    }
+}
+
 /// A third of the machines is lost at once while one controller is down, and all
 /// controllers are back within a fraction of a second in the middle of it.
 #[test]
