--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -27,6 +27,9 @@
 const CONNECT: Micros = Micros::millis(1_500);
 /// Between attempts to reach a peer.
 const PEER_RETRY: Micros = Micros::millis(300);
+/// A peer that has taken nothing for so long stands still or is cut off: what
+/// waits for it is dropped, and it is told all anew once it is heard again.
+const DEAF_PEER: Micros = Micros::secs(4);
 /// Part of the memory that may wait to be written to one peer.
 const PEER_BACKLOG: f64 = 1.0 / 16.0;
 /// Connections to the state service for calls that do not wait.
@@ -109,7 +112,7 @@
     outbound: Vec<u8>,
     written: usize,
     close_after: bool,
-    /// Last time that something arrived.
+    /// Last time that something arrived, or that a peer took something.
     active: Micros,
     /// Since when it has had nothing to do, for connections with commands.
     idle_since: Option<Micros>,
@@ -607,7 +610,12 @@
                     self.close(id);
                     return;
                 }
-                Ok(n) => conn.written += n,
+                Ok(n) => {
+                    conn.written += n;
+                    if matches!(conn.role, Role::PeerOut { .. }) {
+                        conn.active = self.now;
+                    }
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => {
@@ -1019,6 +1027,9 @@
                     now > c.active + Micros::secs(30)
                 }
                 Role::Client { call: Some(_), .. } => !c.connected && now > c.active + CONNECT,
+                Role::PeerOut { .. } => {
+                    c.connected && !c.outbound.is_empty() && now > c.active + DEAF_PEER
+                }
                 _ => false,
             })
             .map(|(id, _)| *id)
