Drop written bytes from the buffers of busy controllers

Between two busy controllers a buffer was never quite empty and grew with all that was ever sent: 40 MB on the survivor of two that stood still. Ruled out: reports, answers, wants and views (few MB).

--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -297,6 +297,16 @@
     Ok(socket.into())
 }
 
+/// Removes what has been written from a buffer that is never quite empty: between
+/// busy controllers it would grow with all that was ever sent.
+fn drop_written(buffer: &mut Vec<u8>, written: &mut usize) {
+    if *written > buffer.len() / 2 {
+        buffer.drain(..*written);
+        *written = 0;
+        buffer.shrink_to(2 * buffer.len());
+    }
+}
+
 /// Removes what has been read; a buffer that is empty then is given back.
 fn take_front(buffer: &mut Vec<u8>, used: usize) {
     buffer.drain(..used);
@@ -616,7 +626,10 @@
                         conn.active = self.now;
                     }
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    drop_written(&mut conn.outbound, &mut conn.written);
+                    return;
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => {
                     self.close(id);
@@ -627,7 +640,7 @@
         conn.outbound.clear();
         conn.written = 0;
         let kept = match conn.role {
-            Role::PeerIn { .. } | Role::PeerOut { .. } => 256 * 1024,
+            Role::PeerIn { .. } | Role::PeerOut { .. } => 64 * 1024,
             _ => QUIET_BUFFER,
         };
         if conn.outbound.capacity() > kept {
