--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -256,10 +256,22 @@
     event_loop.run(None, &mut runtime, |rt| rt.settle()).map_err(io::Error::other)
 }
 
+/// Whether one more user, worker or prober fits beside the connections that
+/// there are, of `limit` sockets.
+pub fn sender_fits(limit: usize, senders: usize, commanding: usize) -> bool {
+    senders + commanding + RESERVED_SOCKETS < limit
+}
+
+/// Whether one more connection for commands fits: some room stays for senders.
+pub fn command_fits(limit: usize, senders: usize, commanding: usize) -> bool {
+    let spare = limit / SENDER_SPARE;
+    commanding < limit / COMMAND_SOCKETS && sender_fits(limit, senders + spare, commanding)
+}
+
 /// What may wait to be written to a peer before its connection is given up: a
 /// part of the memory, since a peer that stands still reads nothing. It holds a
 /// frame of any size that peers take.
-fn peer_backlog(mem_mb: f64) -> usize {
+pub fn peer_backlog(mem_mb: f64) -> usize {
     ((mem_mb * 1024.0 * 1024.0 * PEER_BACKLOG) as usize).clamp(peer::MAX_FRAME, 2 * peer::MAX_FRAME)
 }
 
@@ -299,7 +311,7 @@
 
 /// Removes what has been written from a buffer that is never quite empty: between
 /// busy controllers it would grow with all that was ever sent.
-fn drop_written(buffer: &mut Vec<u8>, written: &mut usize) {
+pub fn drop_written(buffer: &mut Vec<u8>, written: &mut usize) {
     if *written > buffer.len() / 2 {
         buffer.drain(..*written);
         *written = 0;
@@ -367,7 +379,7 @@
                 Err(_) => return,
             };
             let limit = self.config.settings.machine_limits.fd_limit;
-            let full = self.senders + self.commanding + RESERVED_SOCKETS >= limit;
+            let full = !sender_fits(limit, self.senders, self.commanding);
             if !for_peers && full && !self.close_idle_command() {
                 self.stats.refused_connections += 1;
                 continue;
@@ -811,8 +823,7 @@
     /// idle for long makes room for it. Senders always find some room.
     fn room_for_command(&mut self) -> bool {
         let limit = self.config.settings.machine_limits.fd_limit;
-        let used = self.senders + self.commanding + RESERVED_SOCKETS + limit / SENDER_SPARE;
-        (self.commanding < limit / COMMAND_SOCKETS && used < limit) || self.close_idle_command()
+        command_fits(limit, self.senders, self.commanding) || self.close_idle_command()
     }
 
     /// Closes the connection with commands that has been idle for longest.
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -707,6 +707,10 @@
     assert_eq!(ask(wait(9, 1.0, true, None), &refused), Some((offer("small", "a", true), 3)));
     assert_eq!(ask(wait(1, 8.0, false, Some("b")), &refused), Some((offer("big", "b", false), 1)));
     assert_eq!(ask(wait(1, 9.0, true, None), &refused), None);
+    // Shapes that the same kind serves best are rented for together: 15 and 20.
+    let both = [wait(60, 1.0, true, None), wait(20, 4.0, true, None)];
+    let got = fleet::next_request(&both, &types, &BTreeMap::new(), &refused, now);
+    assert_eq!(got, Some((offer("small", "a", true), 12)), "a third of 35");
     refused.insert(offer("small", "a", true), now + Micros(1));
     assert_eq!(ask(wait(1, 1.0, true, None), &refused), Some((offer("small", "b", true), 1)));
     refused.insert(offer("small", "a", true), now);
@@ -875,3 +879,96 @@
     let example = Options::parse(include_str!("../deploy/options.ini")).expect("the example");
     assert_eq!(format!("{example:?}"), format!("{:?}", Options::default()));
 }
+
+#[test]
+fn sockets_and_buffers() {
+    use millethold::runtime::{command_fits, drop_written, peer_backlog, sender_fits};
+    // Limit, senders, connections with commands; whether a sender and whether a
+    // command still fits.
+    let table = [
+        (3_092, 1_900, 0, true, true),
+        (3_092, 1_900, 974, true, true),
+        // Commands leave a sixteenth to senders, which take it.
+        (3_092, 1_900, 975, true, false),
+        (3_092, 1_900, 1_167, true, false),
+        (3_092, 1_900, 1_168, false, false),
+        // Never more than a third, however few senders there are.
+        (3_092, 10, 1_029, true, true),
+        (3_092, 10, 1_030, true, false),
+        (3_092, 3_068, 0, false, false),
+        (32, 7, 0, true, false),
+    ];
+    for (limit, senders, commanding, sender, command) in table {
+        let got =
+            (sender_fits(limit, senders, commanding), command_fits(limit, senders, commanding));
+        assert_eq!(got, (sender, command), "{limit} {senders} {commanding}");
+    }
+    const MB: usize = 1024 * 1024;
+    for (mem_mb, want) in [(16.0, 4 * MB), (88.0, 11 * MB / 2), (258.0, 8 * MB)] {
+        assert_eq!(peer_backlog(mem_mb), want, "{mem_mb}");
+        assert!(want >= millethold::peer::MAX_FRAME, "a frame of any size must fit");
+    }
+    // A buffer that always has something left holds no more than a few times that.
+    let (mut buffer, mut written) = (Vec::new(), 0);
+    for n in 0..1_000_u32 {
+        buffer.extend_from_slice(&[n as u8; 1_000]);
+        written += if n == 0 { 900 } else { 1_000 };
+        drop_written(&mut buffer, &mut written);
+        assert_eq!(buffer.len() - written, 100, "what is not written stays");
+        assert_eq!(buffer[written..], [n as u8; 100]);
+        assert!(buffer.capacity() < 4_000, "{} bytes for 100", buffer.capacity());
+    }
+}
+
+#[test]
+fn bundles() {
+    use millethold::controller::job::{bundle_key, decode_bundle, encode_bundle, is_bundle};
+    let size = PartSize { tasks: 5, bytes: 1_000 };
+    let job = |id: &str| {
+        let mut body = body();
+        body["ref"] = json!(id);
+        let spec = wire::parse_job(body.to_string().as_bytes()).expect("a good submission");
+        let mut j = Job::new(Rc::new(spec), 1, 0, Micros::secs(77), size);
+        j.parts[0].version = 1;
+        j
+    };
+    let jobs = [job("j-000001"), job("j-000002")];
+    let value = encode_bundle(jobs.iter().map(|j| j.encode_part(0)).collect());
+    let key = bundle_key(1, 9, 4);
+    let (name, part) = job::parse_part_key(&key).expect("a key under w/");
+    assert!(is_bundle(name) && part == 0, "{key}");
+    assert!(!is_bundle("j-000001"), "a job's id");
+    let back = decode_bundle(&value);
+    assert_eq!(
+        back.iter().map(|(id, _)| id.as_str()).collect::<Vec<_>>(),
+        ["j-000001", "j-000002"]
+    );
+    for (j, (_, part)) in jobs.iter().zip(&back) {
+        let stored = [(0, (part.clone(), 0))].into();
+        let restored = Job::restore(1, 9, size, &stored).expect("a job from a bundle");
+        assert_eq!(restored.spec, j.spec);
+        let first = &restored.parts[0];
+        // Its first change must create its own key, not change one.
+        assert_eq!((first.version, first.stored, first.mark), (1, 1, 0));
+        assert_eq!(restored.accepted, j.accepted);
+    }
+    let strange = [json!(null), json!({}), json!({"jobs": 3}), json!({"jobs": [1, {"v": 1}]})];
+    for value in strange {
+        assert!(decode_bundle(&value).is_empty(), "{value}");
+    }
+}
+
+#[test]
+fn low_work_that_was_raised() {
+    for (urgency, raised, rank) in
+        [("low", false, 3), ("low", true, 2), ("standard", true, 2), ("high", true, 1)]
+    {
+        let mut body = body();
+        body["urgency"] = json!(urgency);
+        let spec = wire::parse_job(body.to_string().as_bytes()).expect("a good submission");
+        let mut j =
+            Job::new(Rc::new(spec), 1, 0, Micros::ZERO, PartSize { tasks: 5, bytes: 1_000 });
+        j.raised = raised;
+        assert_eq!(j.rank(), rank, "{urgency}, {raised}");
+    }
+}
