--- a/tests/three_controllers.rs
+++ b/tests/three_controllers.rs
@@ -217,13 +217,22 @@
 #[test]
 fn standing_still() {
     let table = [
-        ("past the lease", vec![(0, 12, 45)], vec![]),
-        ("within the lease", vec![(1, 12, 19), (2, 30, 38), (0, 48, 55)], vec![]),
-        ("two, and the third crashes", vec![(0, 14, 50), (1, 20, 52)], vec![(30, 1)]),
+        ("past the lease", vec![(0, 12, 45)], vec![], None),
+        ("within the lease", vec![(1, 12, 19), (2, 30, 38), (0, 48, 55)], vec![], None),
+        ("two, and the third crashes", vec![(0, 14, 50), (1, 20, 52)], vec![(30, 1)], None),
+        // Nothing but its own clock tells it that its seat is another's by now.
+        ("and then hears its workers alone", vec![(0, 12, 24)], vec![], Some((12, 90))),
     ];
-    for (name, frozen, crashes) in table {
-        let troubles =
-            Troubles { frozen, crashes, back_ms: 300, copies: 0.05, ..Troubles::default() };
+    for (name, frozen, crashes, apart) in table {
+        let troubles = Troubles {
+            frozen,
+            crashes,
+            back_ms: 300,
+            copies: 0.05,
+            state_cuts: apart.iter().map(|(f, t)| (0, *f, *t)).collect(),
+            peer_cuts: apart.iter().flat_map(|(f, t)| [(0, 1, *f, *t), (0, 2, *f, *t)]).collect(),
+            ..Troubles::default()
+        };
         play(name, 310..314, 400, &troubles);
         until_done(name, 315, &crowded(), 600, &troubles);
     }
