Give seats up while their machines cannot reach the holder, only others

Cause: a controller cut from its workers alone keeps its state lease, so its seats and its health; its machines are sent to it and run out their leases. A node tells its peers how many machines of others' seats turn to it; a holder that hears none, or that many turn away from for long, hands its seats over, and is given none until a worker answers it, later after every cut.

--- a/src/controller/holder.rs
+++ b/src/controller/holder.rs
@@ -72,6 +72,7 @@
             let away = Refusal::new("seat not held here");
             return match self.holder(s) {
                 Some(h) if h != self.me => {
+                    self.reach.stray(self.now, &report.machine);
                     let member = self.members[h].clone();
                     self.respond(ticket, 421, None, &ReportTo { member: &member })
                 }
@@ -82,6 +83,7 @@
             return self.respond(ticket, 503, Some(1), &Refusal::new("superseded"));
         }
         let now = self.now;
+        self.reach.hear(now);
         let lease = Micros::from_secs_f64(self.settings.workers.lease_s);
         let machine = report.machine.clone();
         let post = self.posts.entry(machine.clone()).or_default();
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -22,6 +22,7 @@
 mod owner;
 mod placer;
 mod quotas;
+mod reach;
 mod renter;
 mod seats;
 
@@ -152,6 +153,13 @@
         /// JSON.
         body: Vec<u8>,
     },
+    /// Ask a worker for its report, ordering nothing and showing no token.
+    Inspect {
+        /// Goes with the reply, which is a worker's.
+        id: CallId,
+        /// The worker.
+        address: SocketAddrV4,
+    },
     /// Send a frame to a peer.
     Peer {
         /// Number of the member.
@@ -198,6 +206,7 @@
     QuotaRead { team: String },
     QuotaWrite { team: String, value: Value },
     Direct { machine: String, starts: Vec<Key>, term: u64 },
+    Inspect,
     Types,
     StoreTypes,
     StoredTypes,
@@ -238,6 +247,10 @@
     run: u64,
     demand: Vec<peer::Demand>,
     needs: Vec<peer::QuotaNeed>,
+    /// It gives its seats up, since it and its workers do not hear each other.
+    cut_off: bool,
+    /// Machines of others' seats that report to it, by seat.
+    strays: BTreeMap<usize, u32>,
 }
 
 /// What is known of a job's stage from the state service.
@@ -340,6 +353,8 @@
     /// What own seats lacked of teams' limits when last looked at.
     own_needs: Vec<peer::QuotaNeed>,
     peers: BTreeMap<usize, PeerInfo>,
+    /// Whether the workers and this node hear each other.
+    reach: reach::Reach,
     fleet: Fleet,
     counts: Counts,
     /// Requests refused since the log last told of it, by status and reason.
@@ -445,6 +460,7 @@
             quotas_read: false,
             own_needs: Vec::new(),
             peers,
+            reach: reach::Reach::default(),
             fleet: Fleet::default(),
             counts: Counts::default(),
             refusals: BTreeMap::new(),
@@ -524,11 +540,13 @@
                 _ => self.seat_reply(op, r),
             },
             Reply::Cloud(r) => self.cloud_reply(op, r),
-            Reply::Direct(r) => {
-                if let Op::Direct { machine, starts, term } = op {
+            Reply::Direct(r) => match op {
+                Op::Direct { machine, starts, term } => {
                     self.direct_reply(&machine, &starts, term, r);
                 }
-            }
+                Op::Inspect => self.inspected(&r),
+                _ => {}
+            },
         }
     }
 
@@ -536,6 +554,7 @@
         if self.acting() {
             self.acted_at = self.now;
         }
+        self.tend_reach();
         self.tend_seats();
         self.tend_waiting();
         self.send_hellos();
@@ -662,7 +681,11 @@
             info.run = frame.run;
             info.well_since = None;
         }
-        if info.heard.is_none_or(|at| now.since(at) > PEER_SILENT) || !frame.state_ok {
+        info.cut_off = frame.cut_off;
+        if info.heard.is_none_or(|at| now.since(at) > PEER_SILENT)
+            || !frame.state_ok
+            || frame.cut_off
+        {
             info.well_since = None;
         }
         info.heard = Some(now);
@@ -671,11 +694,14 @@
             // It cannot act: what it said that it needs must hold up nobody.
             info.demand.clear();
             info.needs.clear();
+            info.strays.clear();
         }
-        if frame.state_ok {
+        if frame.state_ok && !frame.cut_off {
             info.well_since.get_or_insert(now);
         }
         if frame.has_demand {
+            let strays = frame.strays.iter().map(|s| (s.seat as usize, s.machines));
+            info.strays = strays.collect();
             info.demand = frame.demand;
             info.needs = frame.needs;
         }
@@ -748,6 +774,7 @@
                 frame.has_demand = true;
                 frame.demand = self.demand();
                 frame.needs = self.quota_needs();
+                frame.strays = self.strays();
             }
         }
         if idle && !beat && self.sync_peers.is_empty() {
@@ -759,6 +786,7 @@
         frame.member.clone_from(&self.member);
         frame.run = self.run;
         frame.state_ok = acting;
+        frame.cut_off = self.reach.cut_off();
         if acting {
             for (n, seat) in self.seats.iter().enumerate() {
                 if let Some(m) = &seat.mine {
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -418,7 +418,9 @@
         if job.busy {
             return;
         }
-        let Some(mine) = self.seats[s].mine.as_ref().filter(|m| m.loaded) else {
+        // A seat that is being handed over waits for its writes, so none begins.
+        let ready = |m: &&super::seat::Mine| m.loaded && !m.releasing;
+        let Some(mine) = self.seats[s].mine.as_ref().filter(ready) else {
             return;
         };
         let (hold, term) = (mine.mark, mine.term);
--- /dev/null
+++ b/src/controller/reach.rs
@@ -0,0 +1,203 @@
+//! Whether the workers and this node hear each other.
+//!
+//! A node that is cut off from its workers alone keeps its state lease and so
+//! its seats; its machines would run out their leases with all that is on them.
+//! Silence heard by one who hears nobody is no evidence against machines: if at
+//! the same time machines of its seats turn to a peer, which is heard, the node
+//! gives its seats up to those who can hear them. It is given none back until a
+//! worker answers it, and later each time, since a cut may be one-way.
+
+use super::{Controller, DirectReply, Effect, Op};
+use crate::peer::Strays;
+use crate::time::Micros;
+use log::info;
+use rand::seq::IteratorRandom;
+use std::collections::BTreeMap;
+
+/// How long a report to the wrong node counts as a sign that its own is away.
+const STRAY: Micros = Micros::secs(8);
+/// How long the signs of a cut must last: a redirected worker is heard sooner.
+const SURE: Micros = Micros::millis(1_200);
+/// The same where some workers are still heard; they may all have just moved.
+const SURE_OF_PART: Micros = Micros::secs(6);
+/// After a take its machines are on their way here; strays are no sign yet.
+const SETTLED: Micros = Micros::secs(8);
+/// A gap in this node's own time: it stood still, and its silence proves nothing.
+const GAP: Micros = Micros::secs(1);
+/// Between questions to workers while cut off, and how many are asked.
+const ASK_EVERY: Micros = Micros::secs(2);
+const ASKED: usize = 4;
+/// Times that the pause before seats come back is doubled at most.
+const DOUBLINGS: u32 = 3;
+
+/// What is known of the way between this node and the workers.
+#[derive(Debug, Default)]
+pub(super) struct Reach {
+    /// When a worker of an own seat last reported or answered.
+    heard: Micros,
+    /// Machines of others' seats that reported here, and when.
+    strays: BTreeMap<String, Micros>,
+    /// Since when the signs of a cut are there.
+    suspected: Option<Micros>,
+    /// When this was last looked at.
+    tended: Micros,
+    /// Seats are being given up, or were, and are not to come back yet.
+    cut: bool,
+    /// When a worker answered again.
+    back: Option<Micros>,
+    /// Cuts so far.
+    cuts: u32,
+    ask_at: Micros,
+}
+
+impl Reach {
+    /// Whether this node gives its seats up.
+    pub fn cut_off(&self) -> bool {
+        self.cut
+    }
+
+    /// A worker of an own seat was heard.
+    pub fn hear(&mut self, now: Micros) {
+        self.heard = now;
+    }
+
+    /// A machine of somebody else's seat reported here.
+    pub fn stray(&mut self, now: Micros, machine: &str) {
+        self.strays.insert(machine.to_string(), now);
+    }
+}
+
+/// Whether the signs of a cut are there, and how long they must last: of `machines`
+/// that a seat knows, so many turn to a peer, and any, or none, are heard here.
+pub fn signs(machines: usize, strays: u32, silent: bool) -> Option<Micros> {
+    let strays = strays as usize;
+    if machines == 0 {
+        None
+    } else if silent && strays >= machines.min(2) {
+        Some(SURE)
+    } else if strays * 2 > machines && machines > 2 {
+        Some(SURE_OF_PART)
+    } else {
+        None
+    }
+}
+
+/// How long it takes until silence of all of so many machines means something.
+pub fn silence(machines: usize, report_s: f64) -> Micros {
+    // Each reports within a quarter more than its period; of many, one does
+    // at nearly any moment.
+    let all = report_s * 1.25 + 1.0;
+    let s = if machines < 16 { all } else { (report_s / 2.0).max(2.5).min(all) };
+    Micros::from_secs_f64(s)
+}
+
+impl Controller {
+    /// Machines of others' seats that report here, for those who hold them.
+    pub(super) fn strays(&self) -> Vec<Strays> {
+        let mut counts: BTreeMap<usize, u32> = BTreeMap::new();
+        for m in self.reach.strays.keys() {
+            *counts.entry(self.seat_of_machine(m)).or_insert(0) += 1;
+        }
+        counts.into_iter().map(|(s, machines)| Strays { seat: s as u32, machines }).collect()
+    }
+
+    /// Gives seats up while their machines cannot reach this node, and looks
+    /// whether they can again.
+    pub(super) fn tend_reach(&mut self) {
+        let now = self.now;
+        let gap = now.since(self.reach.tended);
+        if gap < Micros::millis(250) {
+            return;
+        }
+        self.reach.tended = now;
+        self.reach.strays.retain(|_, at| now.since(*at) < STRAY);
+        if gap > GAP {
+            // What has come meanwhile is not read yet.
+            self.reach.heard = now;
+            self.reach.suspected = None;
+            return;
+        }
+        if self.reach.cut {
+            return self.look_for_workers();
+        }
+        if !self.acting() {
+            self.reach.suspected = None;
+            return;
+        }
+        let mut known = vec![0_usize; self.seats.len()];
+        let mut all = 0;
+        for (m, _) in self.posts.iter().filter(|(_, p)| p.session > p.over_through) {
+            known[super::seat::seat_of_machine(m, self.seats.len())] += 1;
+            all += 1;
+        }
+        let silent =
+            now.since(self.reach.heard) > silence(all, self.settings.workers.report_s);
+        let found = (0..self.seats.len())
+            .filter(|s| {
+                let mine = self.seats[*s].mine.as_ref();
+                mine.is_some_and(|m| m.loaded && now.since(m.taken) > SETTLED)
+            })
+            .filter_map(|s| {
+                let alive = self.peers.iter().filter(|(n, p)| self.peer_alive(**n) && !p.cut_off);
+                let strays = alive.filter_map(|(_, p)| p.strays.get(&s)).max().copied();
+                signs(known[s], strays.unwrap_or(0), silent)
+            })
+            .min();
+        let Some(lasting) = found else {
+            self.reach.suspected = None;
+            return;
+        };
+        if now.since(*self.reach.suspected.get_or_insert(now)) < lasting {
+            return;
+        }
+        info!("the workers do not reach this node; its seats are given up");
+        self.reach.suspected = None;
+        self.reach.cut = true;
+        self.reach.back = None;
+        self.reach.cuts += 1;
+        self.give_up_seats();
+    }
+
+    fn give_up_seats(&mut self) {
+        for mine in self.seats.iter_mut().filter_map(|s| s.mine.as_mut()) {
+            mine.releasing = true;
+        }
+    }
+
+    /// Asks a few machines how they are; once one answers, and after a pause
+    /// that grows with every cut, seats may come back.
+    fn look_for_workers(&mut self) {
+        let now = self.now;
+        let well = |p: &super::PeerInfo| p.state_ok && !p.cut_off;
+        if self.peers.iter().any(|(n, p)| self.peer_alive(*n) && well(p)) {
+            // Also what was taken meanwhile because nobody else was there.
+            self.give_up_seats();
+        }
+        if let Some(at) = self.reach.back {
+            let doublings = (self.reach.cuts.max(1) - 1).min(DOUBLINGS);
+            let pause = Micros(self.options.hand_back.0 * ((1 << doublings) - 1));
+            if now.since(at) >= pause {
+                info!("workers answer again; seats may come back");
+                self.reach.cut = false;
+                self.reach.heard = now;
+            }
+            return;
+        }
+        if now < self.reach.ask_at {
+            return;
+        }
+        self.reach.ask_at = now + ASK_EVERY;
+        let there = self.views.values().filter(|v| v.healthy);
+        let addresses = there.filter_map(|v| v.address.parse().ok());
+        for address in addresses.sample(&mut self.rng, ASKED) {
+            let id = self.call_id(Op::Inspect);
+            self.out.push(Effect::Inspect { id, address });
+        }
+    }
+
+    pub(super) fn inspected(&mut self, reply: &DirectReply) {
+        if matches!(reply, DirectReply::Answered { status: 200, .. }) {
+            self.reach.back.get_or_insert(self.now);
+        }
+    }
+}
--- a/src/controller/seats.rs
+++ b/src/controller/seats.rs
@@ -126,11 +126,13 @@
                 Micros::ZERO
             } else {
                 let rank = (self.me + self.seats.len() - s) % self.seats.len();
-                let home_well =
-                    self.peer_alive(s) && self.peers.get(&s).is_some_and(|p| p.state_ok);
+                let well = |p: &super::PeerInfo| p.state_ok && !p.cut_off;
+                let home_well = self.peer_alive(s) && self.peers.get(&s).is_some_and(well);
                 let base = if home_well { Micros::millis(2_000) } else { Micros::millis(200) };
                 base + Micros::millis(rank as u64 * 250)
             };
+            // One who cannot hear its workers leaves it to anybody else.
+            let wait = if self.reach.cut_off() { wait + Micros::secs(5) } else { wait };
             if self.now.since(seat.free_since) < wait {
                 return;
             }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -347,6 +347,18 @@
     pub address: String,
 }
 
+/// Machines of somebody else's seat that reported to the sender lately: their
+/// holder does not answer them.
+#[derive(Clone, PartialEq, Message)]
+pub struct Strays {
+    /// Seat.
+    #[prost(uint32, tag = "1")]
+    pub seat: u32,
+    /// How many machines.
+    #[prost(uint32, tag = "2")]
+    pub machines: u32,
+}
+
 /// One message between controllers.
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
@@ -399,6 +411,13 @@
     /// Machines of seats that the sender does not hold, as it last knew them.
     #[prost(message, repeated, tag = "16")]
     pub hints: Vec<Hint>,
+    /// Machines of others' seats that report to the sender; taken with `demand`.
+    #[prost(message, repeated, tag = "17")]
+    pub strays: Vec<Strays>,
+    /// The sender and its workers are out of each other's reach: it gives its
+    /// seats up and is to be given none.
+    #[prost(bool, tag = "18")]
+    pub cut_off: bool,
 }
 
 /// Appends a frame with its length in front.
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -759,6 +759,12 @@
                         Micros::secs(3),
                     );
                 }
+                Effect::Inspect { id, address } => {
+                    let host = address.to_string();
+                    let bytes = http::write_request("GET", &host, crate::wire::path::INSPECT, None);
+                    let place = Place::Worker(address);
+                    self.start_call(id, CallKind::Direct, place, bytes, Micros::secs(2));
+                }
                 Effect::Peer { to, frame } => self.send_frame(to, &frame, &mut written),
             }
         }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -18,6 +18,8 @@
     pub const REPORT: &str = "/v1/report";
     /// Direct commands to a worker.
     pub const COMMANDS: &str = "/do";
+    /// How a worker stands.
+    pub const INSPECT: &str = "/inspect";
     /// Cloud: machine types.
     pub const TYPES: &str = "/flavors";
     /// Cloud: machines.
--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -50,6 +50,9 @@
     /// Workers whose reports arrive, while answers and commands do not reach
     /// them: worker, from, to.
     pub deaf: Vec<(usize, u64, u64)>,
+    /// A controller and all workers are out of each other's reach, by reset
+    /// or (`true`) by packets that are held: controller, from, to.
+    pub node_cuts: Vec<(usize, u64, u64, bool)>,
     /// Chance that a copy of a report arrives again, up to 40 s later, at any
     /// controller.
     pub copies: f64,
@@ -319,6 +322,14 @@
         Some(Micros::secs(cut.2))
     }
 
+    /// Whether a controller and the workers are cut: until when, and if packets
+    /// are held.
+    fn node_cut(&self, node: usize) -> Option<(Micros, bool)> {
+        let mut cuts = self.troubles.node_cuts.iter();
+        let cut = cuts.find(|(n, from, to, _)| *n == node && self.during(*from, *to))?;
+        Some((Micros::secs(cut.2), cut.3))
+    }
+
     fn deaf(&self, worker: usize) -> bool {
         self.troubles.deaf.iter().any(|(w, from, to)| *w == worker && self.during(*from, *to))
     }
@@ -543,9 +554,10 @@
             Effect::Direct { id, address, body } => {
                 let worker = usize::from(address.port());
                 let held = self.chance(self.troubles.held);
-                let cut = self.worker_cut(worker);
+                let node_cut = self.node_cut(node);
+                let cut = self.worker_cut(worker).or(node_cut.map(|(end, _)| end));
                 let event = Event::Reply { id, reply: Reply::Direct(DirectReply::Unknown) };
-                if self.deaf(worker) {
+                if self.deaf(worker) || node_cut.is_some_and(|(_, held)| !held) {
                     let at = self.now + Micros::secs(3);
                     self.at(at, Ev::Node { node, incarnation, event });
                 } else if held || cut.is_some() {
@@ -559,6 +571,18 @@
                     self.at(at, Ev::Direct { node, incarnation, id, worker, body });
                 }
             }
+            Effect::Inspect { id, address } => {
+                let worker = usize::from(address.port());
+                let away = self.worker_cut(worker).is_some() || self.node_cut(node).is_some();
+                let w = &self.workers[worker];
+                let reply = if away || w.gone {
+                    DirectReply::Unknown
+                } else {
+                    DirectReply::Answered { status: 200, body: Vec::new() }
+                };
+                let event = Event::Reply { id, reply: Reply::Direct(reply) };
+                self.at(at, Ev::Node { node, incarnation, event });
+            }
             Effect::Peer { to, frame } => {
                 self.told += frame.views.len() as u64;
                 self.told += frame.wants.iter().map(|w| w.machines.len() as u64).sum::<u64>();
@@ -673,7 +697,10 @@
             let ticket = self.next_ticket;
             self.next_ticket += 1;
             self.tickets.insert(ticket, Origin::Worker { worker, sent, report });
-            self.at(now + Micros::secs(4), Ev::GiveUp { worker, report });
+            let cut = self.node_cut(node);
+            let reset = cut.is_some_and(|(_, held)| !held);
+            let patience = if reset { Micros::millis(200) } else { Micros::secs(4) };
+            self.at(now + patience, Ev::GiveUp { worker, report });
             let event = Event::Http {
                 ticket: Ticket(ticket),
                 method: "POST".into(),
@@ -681,7 +708,7 @@
                 body,
             };
             let incarnation = self.nodes[node].as_ref().map_or(0, |n| n.incarnation);
-            let at = match self.worker_cut(worker) {
+            let at = match self.worker_cut(worker).or(cut.map(|(end, _)| end)) {
                 Some(end) => end + Micros::millis(3),
                 None => now + self.delay(),
             };
@@ -695,7 +722,9 @@
                 }
                 self.next_ticket += 1;
             }
-            self.at(at, Ev::Node { node, incarnation, event });
+            if !reset {
+                self.at(at, Ev::Node { node, incarnation, event });
+            }
         }
         self.at(now + Micros::millis(250), Ev::Worker { worker });
     }
--- a/tests/rehearsal/worker.rs
+++ b/tests/rehearsal/worker.rs
@@ -36,6 +36,8 @@
     pub cleared: Vec<(String, u64)>,
     last_sent: Micros,
     reports: u64,
+    /// Sessions that ended.
+    pub lapses: u32,
 }
 
 /// CPUs of the stand-in's only machine type; memory never binds here.
@@ -62,6 +64,7 @@
             cleared: Vec::new(),
             last_sent: Micros::ZERO,
             reports: 0,
+            lapses: 0,
         }
     }
 
@@ -88,6 +91,7 @@
         if over {
             self.tasks.clear();
             self.session += 1;
+            self.lapses += 1;
             self.seq = 0;
             self.lease_from = now;
             self.in_flight = None;
--- a/tests/three_controllers.rs
+++ b/tests/three_controllers.rs
@@ -238,6 +238,44 @@
     }
 }
 
+/// A controller keeps its state lease and cannot reach its workers: its machines
+/// go to one who can hear them, with what runs on them.
+#[test]
+fn cut_from_workers() {
+    let cut = |held| Troubles { node_cuts: vec![(0, 14, 60, held)], ..Troubles::default() };
+    let table = [
+        ("reset", cut(false), true),
+        ("held", cut(true), false),
+        (
+            "reset, and another crashes",
+            Troubles { crashes: vec![(18, 1), (40, 1)], back_ms: 300, ..cut(false) },
+            false,
+        ),
+        (
+            "one after the other",
+            Troubles {
+                node_cuts: vec![(0, 14, 50, false), (1, 30, 64, true), (2, 70, 90, false)],
+                copies: 0.05,
+                ..Troubles::default()
+            },
+            false,
+        ),
+        (
+            "from the workers and the other controllers",
+            Troubles { peer_cuts: vec![(0, 1, 14, 50), (0, 2, 14, 50)], ..cut(false) },
+            false,
+        ),
+    ];
+    for (name, troubles, all_live) in table {
+        for seed in 400..404 {
+            let troubles = Troubles { machines: Some(24), ..troubles.clone() };
+            let world = until_done(name, seed, &plans(), 400, &troubles);
+            let lapses: u32 = world.workers.iter().map(|w| w.lapses).sum();
+            assert!(!all_live || lapses == 0, "{name}, seed {seed}: {lapses} sessions ended");
+        }
+    }
+}
+
 /// A fleet of well over a thousand machines with little to do: what controllers
 /// tell each other grows with what happens, not with the machines.
 #[test]
