Blame no machine for jobs that fail everywhere, and try those one by one

Cause: three failures of two jobs in a row made a machine faulty, and jobs with a mistake meet on healthy machines; their whole arrays were tried again after each pause.

--- a/src/controller/holder.rs
+++ b/src/controller/holder.rs
@@ -1,6 +1,7 @@
 //! The machines of this process's seats: reports in, commands out. What all
 //! seats want there against what is there.
 
+use super::job::StoredStage;
 use super::machine::{self, Key, Outcome};
 use super::quota::EPS;
 use super::seat::DRIFT;
@@ -14,8 +15,15 @@
 
 /// Added to a worker's lease before its tasks count as gone.
 const LEASE_MARGIN: Micros = Micros::millis(1_000);
-/// Failures of different jobs in a row after which a machine is set aside.
+/// Failures in a row, of jobs that complete elsewhere, or of so many jobs that fail
+/// nowhere else, after which a machine is set aside.
 const MACHINE_FAULTY: u32 = 3;
+/// How long it must seem sick before it is returned: a job with a mistake shows as
+/// such once it has failed elsewhere, too.
+const SICK_FOR: Micros = Micros::secs(5);
+/// Machines remembered of each failing job, and failing jobs, at most.
+const JOB_ELSEWHERE: usize = 2;
+const MAX_FAILING: usize = 2_000;
 /// Machines asked in one turn how they stand, so that a take starves nobody.
 const HELLOS: usize = 16;
 /// Hints kept at most.
@@ -107,26 +115,53 @@
     }
 
     fn note_outcomes(&mut self, machine: &str, outcomes: Vec<Outcome>) {
-        let Some(post) = self.posts.get_mut(machine) else {
-            return;
-        };
         for o in outcomes {
             match o {
                 Outcome::Done(_) => {
-                    post.failures = 0;
-                    post.failed_jobs.clear();
+                    if let Some(post) = self.posts.get_mut(machine) {
+                        post.failed_jobs.clear();
+                    }
                 }
                 Outcome::Failed(key) => {
-                    post.failures += 1;
-                    post.failed_jobs.insert(key.job);
-                    if post.failures == MACHINE_FAULTY && post.failed_jobs.len() > 1 {
-                        warn!("machine {machine} fails what it starts; set aside");
+                    if let Some(post) = self.posts.get_mut(machine) {
+                        *post.failed_jobs.entry(key.job.clone()).or_insert(0) += 1;
                     }
+                    self.note_failing(key.job, machine);
                 }
             }
         }
     }
 
+    /// Remembers on which machines of own seats a job failed; a few will do.
+    fn note_failing(&mut self, job: String, machine: &str) {
+        if self.failing.len() >= MAX_FAILING {
+            let known = &self.known;
+            let over = |id: &String| known.get(id).is_none_or(|k| k.stage != StoredStage::Accepted);
+            self.failing.retain(|id, _| !over(id));
+        }
+        if self.failing.len() < MAX_FAILING {
+            let machines = self.failing.entry(job).or_default();
+            if machines.len() < JOB_ELSEWHERE {
+                machines.insert(machine.to_string());
+            }
+        }
+    }
+
+    /// Whether a machine's failures since its last success are its own: of jobs
+    /// that complete elsewhere, or of several that fail nowhere else. A job with a
+    /// mistake fails everywhere and says nothing of its machines.
+    fn seems_sick(&self, post: &machine::Post) -> bool {
+        if post.failed_jobs.is_empty() {
+            return false;
+        }
+        let completes = |job: &str| self.progress.get(job).is_some_and(|(done, _)| *done > 0);
+        let elsewhere = |job: &str| self.failing.get(job).is_some_and(|m| m.len() > 1);
+        let jobs = &post.failed_jobs;
+        let good: u32 = jobs.iter().filter(|(j, _)| completes(j)).map(|(_, n)| n).sum();
+        let only_here = jobs.keys().filter(|j| completes(j) || !elsewhere(j)).count();
+        good >= MACHINE_FAULTY || only_here >= MACHINE_FAULTY as usize
+    }
+
     /// Takes in what a seat wants on machines.
     pub(super) fn hear_wants(&mut self, message: SeatWants) {
         let s = message.seat as usize;
@@ -561,12 +596,20 @@
 
     fn view_of(&mut self, machine: &str, term: u64) -> MachineView {
         let silent = self.silent();
+        let now = self.now;
+        let sick = self.posts.get(machine).is_some_and(|p| self.seems_sick(p));
         let Some(post) = self.posts.get_mut(machine) else {
             return MachineView::default();
         };
-        let fresh = post.heard.is_some_and(|at| self.now.since(at) < silent);
+        let fresh = post.heard.is_some_and(|at| now.since(at) < silent);
         post.fresh = fresh;
-        let faulty = post.failures >= MACHINE_FAULTY && post.failed_jobs.len() > 1;
+        if !sick {
+            post.sick_since = None;
+        } else if post.sick_since.is_none() {
+            post.sick_since = Some(now);
+            warn!("machine {machine} fails what it starts; set aside");
+        }
+        let faulty = post.sick_since.is_some_and(|at| now.since(at) > SICK_FOR);
         let heard = self
             .wants
             .iter()
@@ -591,7 +634,7 @@
             spot: post.spot,
             address: post.address.map(|a| a.to_string()).unwrap_or_default(),
             notice_ms: post.taken_at.map(|at| at.since(self.now).as_millis()),
-            healthy: fresh && !faulty && !post.deaf,
+            healthy: fresh && !sick && !post.deaf,
             tasks: post.seen_tasks(),
             heard,
             faulty,
--- a/src/controller/job.rs
+++ b/src/controller/job.rs
@@ -88,6 +88,12 @@
 const PLACEMENT_BYTES: usize = 27;
 /// Longest description that fits in part 0.
 pub const MAX_SPEC_BYTES: usize = 1_400;
+/// Failures on different machines after which a job itself is suspected.
+const JOB_SUSPECT: usize = 3;
+/// Its pauses double this often: to half a minute.
+const MOST_DOUBLINGS: u32 = 5;
+/// Machines that a job avoids at most.
+const MOST_AVOIDED: usize = 6;
 /// Most tasks in a part.
 const MAX_PART: u32 = 512;
 
@@ -318,9 +324,11 @@
     pub not_before: Micros,
     /// Starts refused since one began to run.
     pub refused: u32,
-    /// Failures in a row, over all machines.
-    pub failures: u32,
-    /// Machines on which its tasks failed.
+    /// Machines on which tasks failed, while none of the job has completed.
+    failed_on: BTreeSet<Rc<str>>,
+    /// Pauses for its failures so far.
+    pauses: u32,
+    /// Machines on which its tasks failed lately.
     pub avoid: BTreeSet<Rc<str>>,
     /// Why it waits, for the queue page.
     pub waits: &'static str,
@@ -357,7 +365,8 @@
             busy: false,
             not_before: Micros::ZERO,
             refused: 0,
-            failures: 0,
+            failed_on: BTreeSet::new(),
+            pauses: 0,
             avoid: BTreeSet::new(),
             waits: "new",
             run_times: Vec::new(),
@@ -486,6 +495,46 @@
         self.parts.iter().map(|p| p.pending.len() as u32).sum()
     }
 
+    /// Whether the job itself seems to be at fault: it failed on several machines,
+    /// and nothing of it has ever completed.
+    pub fn suspect(&self) -> bool {
+        self.failed_on.len() >= JOB_SUSPECT && self.done() == 0
+    }
+
+    /// Tasks that may be placed: of a job that seems to be at fault one at a time,
+    /// since all of them would fail again and use up starts, writes and the limit.
+    pub fn open(&self) -> u32 {
+        let pending = self.pending();
+        if self.suspect() { pending.min(1_u32.saturating_sub(self.booked())) } else { pending }
+    }
+
+    /// A task of it failed on a machine. Failures together, as of a whole array,
+    /// bring one pause; each further one is longer.
+    pub fn note_failure(&mut self, now: Micros, machine: &Rc<str>) {
+        self.avoid.insert(Rc::clone(machine));
+        if self.avoid.len() > MOST_AVOIDED {
+            self.avoid.clear();
+        }
+        if self.failed_on.len() < JOB_SUSPECT {
+            self.failed_on.insert(Rc::clone(machine));
+        }
+        if self.suspect() && now >= self.not_before {
+            self.pauses += 1;
+            self.not_before = now + Micros::secs(1 << self.pauses.min(MOST_DOUBLINGS));
+            // Where there are few machines none would be left for the trial.
+            self.avoid.clear();
+        }
+    }
+
+    /// A task of it completed, so it can run.
+    pub fn note_success(&mut self) {
+        if !self.failed_on.is_empty() {
+            self.failed_on.clear();
+            self.pauses = 0;
+            self.not_before = Micros::ZERO;
+        }
+    }
+
     /// Tasks that count against the team's limit.
     pub fn booked(&self) -> u32 {
         self.parts.iter().map(|p| p.placed.len() as u32).sum()
--- a/src/controller/machine.rs
+++ b/src/controller/machine.rs
@@ -107,10 +107,10 @@
     pub address: Option<SocketAddrV4>,
     /// When the cloud takes it.
     pub taken_at: Option<Micros>,
-    /// Jobs whose tasks failed here since the last success.
-    pub failed_jobs: BTreeSet<String>,
-    /// Failures since the last success.
-    pub failures: u32,
+    /// Jobs whose tasks failed here since the last success, and how many.
+    pub failed_jobs: BTreeMap<String, u32>,
+    /// Since when its failures make it seem sick.
+    pub sick_since: Option<Micros>,
     /// Order of views.
     pub view_seq: u64,
     /// After a direct command that failed, none before this.
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -339,6 +339,8 @@
     views: BTreeMap<String, MachineView>,
     posts: BTreeMap<String, Post>,
     gone: BTreeSet<String>,
+    /// Machines of own seats on which a job failed, a few of each.
+    failing: BTreeMap<String, BTreeSet<String>>,
     /// Where machines were last known to be that have not been heard here.
     hints: BTreeMap<String, (u64, SocketAddrV4)>,
     /// Machines of own seats to be asked how they stand.
@@ -450,6 +452,7 @@
             views: BTreeMap::new(),
             posts: BTreeMap::new(),
             gone: BTreeSet::new(),
+            failing: BTreeMap::new(),
             hints: BTreeMap::new(),
             hellos: BTreeSet::new(),
             reserved: BTreeSet::new(),
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -27,8 +27,6 @@
 const LAZY: Micros = Micros::millis(2_500);
 /// How often wants are said again of tasks that have not been seen for as long.
 const REMIND: Micros = Micros::secs(8);
-/// Failures on different machines after which a job itself is suspected.
-const JOB_SUSPECT: u32 = 3;
 
 /// How urgently a job's changes are to be written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -272,7 +270,7 @@
         let machine = Rc::clone(&p.machine);
         match seen {
             Seen::Done => {
-                job.failures = 0;
+                job.note_success();
                 if let Some(at) = p.running_since {
                     let ran = now.since(at);
                     let estimate = job.spec.estimate_s;
@@ -284,18 +282,8 @@
             }
             Seen::Failed => {
                 self.counts.failed += 1;
-                job.failures += 1;
-                job.avoid.insert(Rc::clone(&p.machine));
-                if job.avoid.len() > 6 {
-                    job.avoid.clear();
-                }
                 info!("task {id}/{index} failed on {}", p.machine);
-                if job.failures >= JOB_SUSPECT {
-                    // It failed on several machines: the fault may be its own,
-                    // and trying it at once would only take up room.
-                    let wait = 1_u64 << (job.failures - JOB_SUSPECT).min(5);
-                    job.not_before = now + Micros::secs(wait);
-                }
+                job.note_failure(now, &p.machine);
             }
             Seen::Refused => {
                 job.refused += 1;
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -335,6 +335,9 @@
             let Some(index) = job.first_pending() else {
                 break if job.pending() > 0 { "earlier tasks of it first" } else { "starting" };
             };
+            if job.open() == 0 {
+                break "a trial after failures is under way";
+            }
             if (0..2).any(|r| need[r] > 0.0 && used[r] + need[r] > grant[r] + EPS) {
                 break "the team's limit";
             }
@@ -660,6 +663,7 @@
                 && !j.over
                 && j.booked() == 0
                 && j.done() == 0
+                && !j.suspect()
                 && wall.since(j.accepted).as_secs_f64() > self.within_s(&j.spec.class) * STARVED
         };
         let list: Vec<String> =
@@ -681,7 +685,7 @@
         }
         let wall = self.wall();
         let mut waiting: Vec<(bool, u32, Rc<JobSpec>)> = Vec::new();
-        for j in self.jobs.values().filter(|j| !j.cancelled && !j.over && j.pending() > 0) {
+        for j in self.jobs.values().filter(|j| !j.cancelled && !j.over && j.open() > 0) {
             let within = self.within_s(&j.spec.class);
             let waited = wall.since(j.accepted).as_secs_f64();
             if waited > SOON_S && j.waits == NO_ROOM {
@@ -804,7 +808,7 @@
                 [0, 1].map(|r| (quota.limit[r] - used[r]).max(0.0))
             });
             let can = fits(&[left[0], left[1], f64::INFINITY], &[spec.cpus, spec.gpus, 0.0]);
-            let tasks = j.pending().min(can);
+            let tasks = j.open().min(can);
             if tasks == 0 {
                 continue;
             }
--- a/src/controller/quotas.rs
+++ b/src/controller/quotas.rs
@@ -13,7 +13,7 @@
     fn seat_waits(&self, s: usize, team: &str) -> Vec<Need> {
         let mut list: Vec<Need> = Vec::new();
         for j in self.jobs.values().filter(|j| j.seat == s && j.spec.team == team) {
-            let n = f64::from(j.pending());
+            let n = f64::from(j.open());
             if j.cancelled || j.over || n == 0.0 || self.now < j.not_before {
                 continue;
             }
--- a/src/controller/reach.rs
+++ b/src/controller/reach.rs
@@ -130,8 +130,7 @@
             known[super::seat::seat_of_machine(m, self.seats.len())] += 1;
             all += 1;
         }
-        let silent =
-            now.since(self.reach.heard) > silence(all, self.settings.workers.report_s);
+        let silent = now.since(self.reach.heard) > silence(all, self.settings.workers.report_s);
         let found = (0..self.seats.len())
             .filter(|s| {
                 let mine = self.seats[*s].mine.as_ref();
--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -84,6 +84,8 @@
     pub cancel_at_s: Option<u64>,
     pub together: bool,
     pub apart: bool,
+    /// It was submitted with a mistake: its tasks fail on every machine.
+    pub broken: bool,
 }
 
 impl Plan {
@@ -98,6 +100,7 @@
             cancel_at_s: None,
             together: false,
             apart: false,
+            broken: false,
         }
     }
 }
@@ -171,6 +174,8 @@
     watches: Vec<(usize, u64, CallId, String, u64, Micros)>,
     pub broken: Vec<String>,
     pub starts: u64,
+    /// Starts by job.
+    begun: BTreeMap<String, u64>,
     /// Machines named in views and wants that controllers sent each other.
     pub told: u64,
 }
@@ -236,6 +241,7 @@
             watches: Vec::new(),
             broken: Vec::new(),
             starts: 0,
+            begun: BTreeMap::new(),
             told: 0,
             troubles,
             rng: StdRng::seed_from_u64(rng.random()),
@@ -683,8 +689,11 @@
             self.workers[worker].lapse(now);
             return self.at(now + Micros::millis(50), Ev::Worker { worker });
         }
-        let lengths: BTreeMap<String, f64> =
-            self.jobs.iter().map(|(id, j)| (id.clone(), j.plan.run_s)).collect();
+        let lengths: BTreeMap<String, Option<f64>> = self
+            .jobs
+            .iter()
+            .map(|(id, j)| (id.clone(), (!j.plan.broken).then_some(j.plan.run_s)))
+            .collect();
         let w = &mut self.workers[worker];
         let finished = w.advance(now, &lengths);
         for (job, index) in finished {
@@ -766,6 +775,7 @@
         for task in begun {
             self.starts += 1;
             let (job, index) = task.split_once('/').expect("a task's name");
+            *self.begun.entry(job.to_string()).or_insert(0) += 1;
             let Some(j) = self.jobs.get(job) else {
                 self.broken.push(format!("start of unknown {task}"));
                 continue;
@@ -942,6 +952,13 @@
             .collect()
     }
 
+    /// Starts of jobs with a mistake, for each of their tasks.
+    pub fn broken_starts(&self) -> Vec<f64> {
+        let broken = self.jobs.iter().filter(|(_, j)| j.plan.broken);
+        let starts = |id: &String| self.begun.get(id).copied().unwrap_or(0) as f64;
+        broken.map(|(id, j)| starts(id) / f64::from(j.plan.tasks)).collect()
+    }
+
     /// Attempts that were ever written down for a worker.
     pub fn attempts(&self, worker: usize) -> usize {
         self.store.attempts(&self.workers[worker].name)
--- a/tests/rehearsal/worker.rs
+++ b/tests/rehearsal/worker.rs
@@ -100,22 +100,29 @@
         over
     }
 
-    /// Lets time pass; returns the tasks that completed.
-    pub fn advance(&mut self, now: Micros, lengths: &BTreeMap<String, f64>) -> Vec<(String, u32)> {
+    /// Lets time pass; returns the tasks that completed. A job without a length
+    /// fails wherever it runs.
+    pub fn advance(
+        &mut self,
+        now: Micros,
+        lengths: &BTreeMap<String, Option<f64>>,
+    ) -> Vec<(String, u32)> {
         if self.lapse(now) {
             return Vec::new();
         }
         let mut done = Vec::new();
         for (name, t) in &mut self.tasks {
             let (job, index) = name.split_once('/').expect("a task's name");
-            let length = lengths.get(job).copied().unwrap_or(1.0);
+            let length = lengths.get(job).copied().unwrap_or(Some(1.0));
+            let fails = self.sick || length.is_none();
+            let length = length.unwrap_or_default();
             match t.state {
                 TaskState::Fetching if now > t.since + Micros::millis(500) => {
                     t.state = TaskState::Running;
                     t.since = now;
                     self.changed = true;
                 }
-                TaskState::Running if self.sick && now > t.since + Micros::millis(200) => {
+                TaskState::Running if fails && now > t.since + Micros::millis(200) => {
                     t.state = TaskState::Exited;
                     t.cause = Some(Cause::Error);
                     self.changed = true;
--- a/tests/three_controllers.rs
+++ b/tests/three_controllers.rs
@@ -276,6 +276,49 @@
     }
 }
 
+/// Jobs with a mistake fail on every machine: no machine is set aside for them, they
+/// are tried at a bounded rate, and a sick machine is found all the same.
+#[test]
+fn broken_jobs() {
+    let blue = |at_s, tasks, run_s| Plan { team: "blue", ..Plan::new(at_s, tasks, 1.0, run_s) };
+    let broken =
+        |at_s, tasks| Plan { broken: true, cancel_at_s: Some(150), ..blue(at_s, tasks, 3.0) };
+    let mut plans: Vec<Plan> = (0..24).map(|n| blue(3 + n * 5, 40, 3.0)).collect();
+    plans.extend([broken(4, 30), broken(5, 4), broken(6, 12), broken(20, 1), broken(40, 25)]);
+    let table = [
+        ("alone", Troubles::default(), false),
+        ("beside a sick machine", Troubles { sick: [3].into(), ..Troubles::default() }, true),
+        (
+            "and crashes",
+            Troubles {
+                sick: [3].into(),
+                crashes: vec![(30, 1), (60, 3)],
+                back_ms: 300,
+                ..Troubles::default()
+            },
+            true,
+        ),
+    ];
+    for (name, troubles, sick) in table {
+        for seed in 410..413 {
+            let troubles = Troubles { machines: Some(16), ..troubles.clone() };
+            let mut world = World::new(seed, &plans, troubles);
+            world.run_until(140);
+            assert!(world.broken.is_empty(), "{name}, seed {seed}: {:?}", world.broken);
+            let gone: Vec<usize> = (0..16).filter(|w| *w != 4 && world.workers[*w].gone).collect();
+            let expected: Vec<usize> = if sick { vec![3] } else { vec![] };
+            assert_eq!(gone, expected, "{name}, seed {seed}: machines returned; {} attempts", world.attempts(3));
+            // All at once at first, then a trial in two seconds, four, and so on.
+            for starts in world.broken_starts() {
+                assert!(starts <= 20.0, "{name}, seed {seed}: {starts} starts a task");
+            }
+            world.run_until(400);
+            assert!(world.broken.is_empty(), "{name}, seed {seed}: {:?}", world.broken);
+            assert!(world.unfinished().is_empty(), "{name}, seed {seed}: {:?}", world.unfinished());
+        }
+    }
+}
+
 /// A fleet of well over a thousand machines with little to do: what controllers
 /// tell each other grows with what happens, not with the machines.
 #[test]
