--- a/src/controller/reach.rs
+++ b/src/controller/reach.rs
@@ -15,11 +15,12 @@
 use std::collections::BTreeMap;
 
 /// How long a report to the wrong node counts as a sign that its own is away.
-const STRAY: Micros = Micros::secs(8);
+const STRAY: Micros = Micros::secs(6);
 /// How long the signs of a cut must last: a redirected worker is heard sooner.
 const SURE: Micros = Micros::millis(1_200);
-/// The same where some workers are still heard; they may all have just moved.
-const SURE_OF_PART: Micros = Micros::secs(6);
+/// The same where some workers are still heard: longer than late reports, which
+/// all come at once when a cut ends, count as signs.
+const SURE_OF_PART: Micros = Micros::secs(10);
 /// After a take its machines are on their way here; strays are no sign yet.
 const SETTLED: Micros = Micros::secs(8);
 /// A gap in this node's own time: it stood still, and its silence proves nothing.
--- a/tests/three_controllers.rs
+++ b/tests/three_controllers.rs
@@ -307,7 +307,12 @@
             assert!(world.broken.is_empty(), "{name}, seed {seed}: {:?}", world.broken);
             let gone: Vec<usize> = (0..16).filter(|w| *w != 4 && world.workers[*w].gone).collect();
             let expected: Vec<usize> = if sick { vec![3] } else { vec![] };
-            assert_eq!(gone, expected, "{name}, seed {seed}: machines returned; {} attempts", world.attempts(3));
+            assert_eq!(
+                gone,
+                expected,
+                "{name}, seed {seed}: machines returned; {} attempts",
+                world.attempts(3)
+            );
             // All at once at first, then a trial in two seconds, four, and so on.
             for starts in world.broken_starts() {
                 assert!(starts <= 20.0, "{name}, seed {seed}: {starts} starts a task");
