Compare the versions of many jobs' keys at once when questions storm

Questions that find less than half of the share left wait for a transaction that only compares; /queue and /status are made once a second at most.

--- a/src/controller/accept.rs
+++ b/src/controller/accept.rs
@@ -236,7 +236,7 @@
         let took = self.now.since(a.came).as_millis();
         log::debug!("job {} was written {took} ms after it had come", spec.id);
         self.counts.accepted += 1;
-        let known = Known { stage: StoredStage::Accepted, seat: s, tasks: spec.tasks };
+        let known = Known { stage: StoredStage::Accepted, seat: s, tasks: spec.tasks, mark };
         self.note_known(&spec.id, known);
         let cancelled = self.known.get(&spec.id).is_some_and(|k| k.stage == StoredStage::Cancelled);
         if held && !self.jobs.contains_key(&spec.id) {
--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -225,17 +225,6 @@
         self.state(op, StateCall::Get(job::job_key(id)));
     }
 
-    fn poll(&mut self, ticket: Ticket, id: &str) {
-        if let Some(known) = self.known.get(id).copied()
-            && known.stage != StoredStage::Accepted
-        {
-            let answer = self.job_answer(id, known);
-            return self.respond(ticket, 200, None, &answer);
-        }
-        let op = Op::Poll { ticket, job: id.to_string() };
-        self.state(op, StateCall::Get(job::job_key(id)));
-    }
-
     fn cancel(&mut self, ticket: Ticket, id: &str) {
         if let Some(known) = self.known.get(id).copied()
             && known.stage != StoredStage::Accepted
@@ -255,7 +244,7 @@
     }
 
     /// What a user is told of a job.
-    fn job_answer<'a>(&self, id: &'a str, known: Known) -> JobAnswer<'a> {
+    pub(super) fn job_answer<'a>(&self, id: &'a str, known: Known) -> JobAnswer<'a> {
         let (done, running) = match known.stage {
             StoredStage::Done => (known.tasks, 0),
             StoredStage::Cancelled => (self.progress.get(id).map_or(0, |p| p.0), 0),
@@ -272,12 +261,17 @@
     }
 
     /// Reads `j/REF`; what cannot be read counts as not answered.
-    fn read_record(&mut self, job: &str, reply: &StateReply) -> Option<Option<(Known, u64)>> {
+    pub(super) fn read_record(
+        &mut self,
+        job: &str,
+        reply: &StateReply,
+    ) -> Option<Option<(Known, u64)>> {
         match reply {
             StateReply::Value(None) => Some(None),
             StateReply::Value(Some(item)) => {
                 let r: JobRecord = serde_json::from_value(item.value.clone()).ok()?;
-                let known = Known { stage: r.stage, seat: r.seat, tasks: r.tasks };
+                let mark = item.version;
+                let known = Known { stage: r.stage, seat: r.seat, tasks: r.tasks, mark };
                 self.note_known(job, known);
                 // This answer may have been overtaken by a later one.
                 let known = self.known.get(job).copied().unwrap_or(known);
@@ -311,14 +305,8 @@
                 }
                 None => self.later(ticket, 503, "state service away"),
             },
-            Op::Poll { ticket, job } => match self.read_record(&job, &reply) {
-                Some(Some((known, _))) => {
-                    let answer = self.job_answer(&job, known);
-                    self.respond(ticket, 200, None, &answer);
-                }
-                Some(None) => self.respond(ticket, 404, None, &Refusal::new("no such job")),
-                None => self.later(ticket, 503, "state service away"),
-            },
+            Op::Poll { tickets, job } => self.poll_read(tickets, &job, &reply),
+            Op::Check { jobs } => self.checked(jobs, reply),
             Op::CancelRead { ticket, job, tries } => match self.read_record(&job, &reply) {
                 Some(Some((known, mark))) if known.stage == StoredStage::Accepted => {
                     let record = JobRecord {
@@ -348,9 +336,9 @@
                 None => self.later(ticket, 503, "state service away"),
             },
             Op::CancelWrite { ticket, job, seat, tasks, tries } => match reply {
-                StateReply::Applied(_) => {
+                StateReply::Applied(mark) => {
                     info!("job {job} cancelled by its user");
-                    let known = Known { stage: StoredStage::Cancelled, seat, tasks };
+                    let known = Known { stage: StoredStage::Cancelled, seat, tasks, mark };
                     self.note_known(&job, known);
                     self.note_cancelled.push(job.clone());
                     self.job_cancelled(&job);
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -21,6 +21,7 @@
 mod holder;
 mod owner;
 mod placer;
+mod questions;
 mod quotas;
 mod reach;
 mod renter;
@@ -196,7 +197,8 @@
     Accept { list: Vec<accept::Arrival>, seat: usize, term: u64, bundle: Option<String> },
     DropBundle { key: String, term: u64 },
     SubmitRead { ticket: Ticket, job: String, otherwise: (u16, Option<u64>, Vec<u8>) },
-    Poll { ticket: Ticket, job: String },
+    Poll { tickets: Vec<Ticket>, job: String },
+    Check { jobs: questions::Asked },
     CancelRead { ticket: Ticket, job: String, tries: u32 },
     CancelWrite { ticket: Ticket, job: String, seat: usize, tasks: u32, tries: u32 },
     Store { job: String, term: u64, parts: Vec<(usize, u64)>, done: bool, drops: Vec<usize> },
@@ -259,6 +261,8 @@
     stage: StoredStage,
     seat: usize,
     tasks: u32,
+    /// Version of its key that says so; it changes once, with the final stage.
+    mark: u64,
 }
 
 /// Counters for the status page.
@@ -321,6 +325,7 @@
     by_machine: BTreeMap<(usize, Rc<str>), TaskSet>,
     part_size: job::PartSize,
     submissions: usize,
+    questions: questions::Questions,
     acceptance: accept::Acceptance,
     /// Submissions came a moment ago: more may, and writes leave them a share.
     accepting_until: Micros,
@@ -437,6 +442,7 @@
             by_machine: BTreeMap::new(),
             part_size: job::PartSize::new(config.settings.state.value_kb),
             submissions: 0,
+            questions: questions::Questions::new(&config.settings.state, count),
             acceptance: accept::Acceptance::default(),
             accepting_until: Micros::ZERO,
             wants: vec![HeardWants::default(); count],
@@ -530,6 +536,7 @@
                 Op::Accept { .. }
                 | Op::SubmitRead { .. }
                 | Op::Poll { .. }
+                | Op::Check { .. }
                 | Op::CancelRead { .. }
                 | Op::CancelWrite { .. } => self.api_reply(op, r),
                 Op::Store { .. } | Op::Recheck { .. } | Op::RecheckParts { .. } => {
@@ -560,6 +567,7 @@
         self.tend_reach();
         self.tend_seats();
         self.tend_waiting();
+        self.tend_questions();
         self.send_hellos();
         if self.now >= self.tend_at {
             self.tend_at = self.now + Micros::millis(250);
@@ -591,6 +599,7 @@
     /// wants, views, and one frame for each peer.
     pub fn flush(&mut self, now: Micros, out: &mut Vec<Effect>) {
         self.now = now;
+        self.ask_together();
         if self.acting() {
             self.accept_waiting();
             self.tell_terms();
@@ -627,6 +636,7 @@
     fn state(&mut self, op: Op, call: StateCall) {
         self.puts.level(self.now);
         self.puts.take(call.puts() as f64);
+        self.questions.note_call(self.now, &call);
         let id = self.call_id(op);
         self.out.push(Effect::State { id, call });
     }
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -564,7 +564,8 @@
                     warn!("unreadable record of job {id}");
                     return;
                 };
-                let known = Known { stage: r.stage, seat: r.seat, tasks: r.tasks };
+                let mark = item.version;
+                let known = Known { stage: r.stage, seat: r.seat, tasks: r.tasks, mark };
                 self.note_known(&id, known);
                 match r.stage {
                     StoredStage::Cancelled => self.job_cancelled(&id),
@@ -678,7 +679,8 @@
                     touched.push((p.machine, i));
                 }
             }
-            let known = Known { stage: StoredStage::Done, seat: s, tasks: job.spec.tasks };
+            let tasks = job.spec.tasks;
+            let known = Known { stage: StoredStage::Done, seat: s, tasks, mark };
             self.note_known(id, known);
         }
         for (machine, index) in touched {
--- /dev/null
+++ b/src/controller/questions.rs
@@ -0,0 +1,219 @@
+//! Questions about jobs.
+//!
+//! What is final is answered from memory. Otherwise only the state service knows
+//! whether some node has said more by now, so every question is followed by a
+//! look at it. While there is plenty of this node's share of requests each reads
+//! its job's key; in a storm those that wait are put together: one transaction
+//! that changes nothing and compares the versions of all their keys.
+
+use super::job::{self, StoredStage};
+use super::{Controller, Op, Ticket};
+use crate::config;
+use crate::state::{Bucket, CALL_SHARE, StateCall, StateReply};
+use crate::time::Micros;
+use crate::wire::{Condition, Refusal, Txn};
+use std::collections::BTreeMap;
+use std::ops::Bound;
+
+/// Comparisons under way at once.
+const CHECKS: usize = 2;
+/// Conditions that a transaction may have for each change that it might make.
+const CONDITIONS: usize = 4;
+/// Bytes of a transaction that conditions may take, and those of one beside its key.
+const CHECK_BYTES: usize = 48 * 1024;
+const CONDITION_BYTES: usize = 40;
+/// Questions that may wait; more are told to come back.
+const MOST_WAITING: usize = 2_000;
+/// A question that has waited for longer is answered while its user listens.
+const LISTENS: Micros = Micros::millis(1_600);
+
+/// Questions about one job.
+#[derive(Debug, Clone)]
+pub(super) struct Asking {
+    /// Version of its key that is known.
+    mark: u64,
+    /// Who asks, and since when.
+    who: Vec<(Ticket, Micros)>,
+}
+
+/// Jobs asked about together.
+pub(super) type Asked = BTreeMap<String, Asking>;
+
+/// Questions that wait for a comparison.
+#[derive(Debug)]
+pub(super) struct Questions {
+    waiting: Asked,
+    /// Questions in `waiting`.
+    count: usize,
+    /// The job last asked about: the next ones have their turn after it.
+    last: String,
+    under_way: usize,
+    /// This node's share of requests, as far as used.
+    calls: Bucket,
+}
+
+impl Questions {
+    pub fn new(state: &config::StateLimits, nodes: usize) -> Questions {
+        let share = state.rps * CALL_SHARE / nodes.max(1) as f64;
+        Questions {
+            waiting: Asked::new(),
+            count: 0,
+            last: String::new(),
+            under_way: 0,
+            calls: Bucket::new(share, share),
+        }
+    }
+
+    /// A call goes to the state service.
+    pub fn note_call(&mut self, now: Micros, call: &StateCall) {
+        if !call.urgent() {
+            self.calls.level(now);
+            self.calls.take(1.0);
+        }
+    }
+
+    /// The next job that is asked about.
+    fn next(&mut self) -> Option<(String, Asking)> {
+        let after = (Bound::Excluded(self.last.as_str()), Bound::Unbounded);
+        let next = self.waiting.range::<str, _>(after).next().or(self.waiting.iter().next());
+        self.last = next?.0.clone();
+        let found = self.waiting.remove_entry(&self.last)?;
+        self.count -= found.1.who.len();
+        Some(found)
+    }
+
+    /// Whether a question may have a request of its own.
+    fn plenty(&mut self, now: Micros) -> bool {
+        self.count == 0 && self.calls.level(now) > self.calls.burst() / 2.0
+    }
+}
+
+impl Controller {
+    pub(super) fn poll(&mut self, ticket: Ticket, id: &str) {
+        let now = self.now;
+        let known = self.known.get(id).copied();
+        if let Some(known) = known.filter(|k| k.stage != StoredStage::Accepted) {
+            let answer = self.job_answer(id, known);
+            return self.respond(ticket, 200, None, &answer);
+        }
+        match known.filter(|k| k.mark > 0) {
+            Some(known) if !self.questions.plenty(now) => {
+                if self.questions.count >= MOST_WAITING {
+                    return self.later(ticket, 429, "too many questions wait");
+                }
+                self.questions.count += 1;
+                let asked = self.questions.waiting.entry(id.to_string());
+                let asked = asked.or_insert(Asking { mark: known.mark, who: Vec::new() });
+                asked.who.push((ticket, now));
+            }
+            _ => self.read_job(vec![ticket], id),
+        }
+    }
+
+    fn read_job(&mut self, tickets: Vec<Ticket>, id: &str) {
+        let op = Op::Poll { tickets, job: id.to_string() };
+        self.state(op, StateCall::Get(job::job_key(id)));
+    }
+
+    /// Sends comparisons for the questions that wait.
+    pub(super) fn ask_together(&mut self) {
+        while self.questions.count > 0
+            && self.questions.under_way < CHECKS
+            && self.questions.calls.level(self.now) >= 1.0
+        {
+            let most = (self.settings.state.txn_ops * CONDITIONS).max(1);
+            let mut left = CHECK_BYTES;
+            let mut jobs = Asked::new();
+            while jobs.len() < most
+                && let Some((id, asked)) = self.questions.next()
+            {
+                left = left.saturating_sub(id.len() + CONDITION_BYTES);
+                jobs.insert(id, asked);
+                if left == 0 {
+                    break;
+                }
+            }
+            let condition = |(id, asked): (&String, &Asking)| Condition {
+                key: job::job_key(id),
+                version: asked.mark,
+            };
+            let conditions = jobs.iter().map(condition).collect();
+            self.questions.under_way += 1;
+            let txn = Txn { conditions, writes: Vec::new() };
+            self.state(Op::Check { jobs }, StateCall::Txn(txn));
+        }
+    }
+
+    pub(super) fn checked(&mut self, jobs: Asked, reply: StateReply) {
+        self.questions.under_way = self.questions.under_way.saturating_sub(1);
+        let failed = match reply {
+            StateReply::Applied(_) => Vec::new(),
+            StateReply::Conflict(failed) => failed,
+            _ => {
+                let tickets = jobs.into_values().flat_map(|asked| asked.who);
+                return tickets.for_each(|(t, _)| self.later(t, 503, "state service away"));
+            }
+        };
+        for (id, Asking { mark, who: asked }) in jobs {
+            // What is known by now may be newer than the comparison.
+            let known = self.known.get(&id).copied();
+            match known {
+                Some(k) if k.stage != StoredStage::Accepted || failed.is_empty() => {
+                    let answer = self.job_answer(&id, k);
+                    let body = serde_json::to_vec(&answer).unwrap_or_default();
+                    for (ticket, _) in asked {
+                        let body = body.clone();
+                        self.out.push(super::Effect::Respond {
+                            ticket,
+                            status: 200,
+                            retry_after: None,
+                            body,
+                        });
+                    }
+                }
+                // Whether all that differ are named is not said: the others are
+                // compared once more.
+                Some(_) if !failed.contains(&job::job_key(&id)) => {
+                    self.questions.count += asked.len();
+                    let again = self.questions.waiting.entry(id);
+                    again.or_insert(Asking { mark, who: Vec::new() }).who.extend(asked);
+                }
+                _ => self.read_job(asked.into_iter().map(|(t, _)| t).collect(), &id),
+            }
+        }
+    }
+
+    pub(super) fn poll_read(&mut self, tickets: Vec<Ticket>, job: &str, reply: &StateReply) {
+        match self.read_record(job, reply) {
+            Some(Some((known, _))) => {
+                for ticket in tickets {
+                    let answer = self.job_answer(job, known);
+                    self.respond(ticket, 200, None, &answer);
+                }
+            }
+            Some(None) => {
+                for ticket in tickets {
+                    self.respond(ticket, 404, None, &Refusal::new("no such job"));
+                }
+            }
+            None => tickets.into_iter().for_each(|t| self.later(t, 503, "state service away")),
+        }
+    }
+
+    /// Answers questions that have waited for as long as their users listen.
+    pub(super) fn tend_questions(&mut self) {
+        if self.questions.count == 0 {
+            return;
+        }
+        let now = self.now;
+        let mut late = Vec::new();
+        self.questions.waiting.retain(|_, Asking { who, .. }| {
+            late.extend(who.extract_if(.., |(_, came)| now.since(*came) > LISTENS));
+            !who.is_empty()
+        });
+        self.questions.count -= late.len();
+        for (ticket, _) in late {
+            self.later(ticket, 503, "too many questions wait");
+        }
+    }
+}
--- a/src/controller/seats.rs
+++ b/src/controller/seats.rs
@@ -402,7 +402,12 @@
                 };
                 self.note_known(
                     id,
-                    Known { stage: record.stage, seat: record.seat, tasks: record.tasks },
+                    Known {
+                        stage: record.stage,
+                        seat: record.seat,
+                        tasks: record.tasks,
+                        mark: item.version,
+                    },
                 );
                 match record.stage {
                     StoredStage::Cancelled => self.job_cancelled(id),
@@ -571,7 +576,7 @@
             };
             self.note_known(
                 &id,
-                Known { stage: record.stage, seat: record.seat, tasks: record.tasks },
+                Known { stage: record.stage, seat: record.seat, tasks: record.tasks, mark },
             );
             let Some(mut job) = Job::restore(s, mark, self.part_size, &parts) else {
                 warn!("stored tasks of job {id} cannot be read");
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -55,6 +55,9 @@
 /// How long it then has to read them.
 const PATIENCE: Micros = Micros::millis(500);
 
+/// A page is made anew after this long.
+const PAGE_AGE: Micros = Micros::secs(1);
+
 type ConnId = u64;
 
 /// Where a call goes; each place has its own connections.
@@ -135,6 +138,13 @@
     run: u64,
 }
 
+/// Pages for people.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Page {
+    Status,
+    Queue,
+}
+
 /// Latencies and counters for the status page.
 struct Stats {
     answers: Histogram<u64>,
@@ -175,6 +185,8 @@
     sweep: Micros,
     effects: Vec<Effect>,
     stats: Stats,
+    /// Pages as last made.
+    pages: BTreeMap<Page, (Micros, Rc<Vec<u8>>)>,
     buffer: Vec<u8>,
 }
 
@@ -249,6 +261,7 @@
             refused_connections: 0,
             bad_requests: 0,
         },
+        pages: BTreeMap::new(),
         buffer: vec![0; 32 * 1024],
         config,
     };
@@ -496,12 +509,12 @@
                 conn.role = Role::Sender { busy: true, since: self.now, reports };
                 match (request.method.as_str(), request.path.as_str()) {
                     ("GET", "/status") => {
-                        let body = self.status();
+                        let body = self.page(Page::Status);
                         self.answer(id, 200, None, "application/json", &body, false);
                     }
                     ("GET", "/queue") => {
-                        let body = self.controller.queue_page(self.now);
-                        self.answer(id, 200, None, "text/plain", body.as_bytes(), false);
+                        let body = self.page(Page::Queue);
+                        self.answer(id, 200, None, "text/plain", &body, false);
                     }
                     _ => self.dispatch(Event::Http {
                         ticket: Ticket(id),
@@ -1100,6 +1113,22 @@
         self.perform(effects);
     }
 
+    /// A page, made at most once a second whoever asks for it: it tells of all
+    /// jobs or machines, and boards that refresh it would take the processor.
+    fn page(&mut self, page: Page) -> Rc<Vec<u8>> {
+        if let Some((at, body)) = self.pages.get(&page)
+            && self.now.since(*at) < PAGE_AGE
+        {
+            return Rc::clone(body);
+        }
+        let body = Rc::new(match page {
+            Page::Status => self.status(),
+            Page::Queue => self.controller.queue_page(self.now).into_bytes(),
+        });
+        self.pages.insert(page, (self.now, Rc::clone(&body)));
+        body
+    }
+
     fn status(&mut self) -> Vec<u8> {
         fn summary(h: &Histogram<u64>) -> serde_json::Value {
             serde_json::json!({
--- a/src/state.rs
+++ b/src/state.rs
@@ -224,7 +224,7 @@
 
 /// Part of the state service's request rate that is used; the rest is for
 /// renewals, which are never held back.
-const CALL_SHARE: f64 = 0.9;
+pub const CALL_SHARE: f64 = 0.9;
 
 /// Part of its rate of changes that is used; renewals are none, so what is left
 /// is for clocks that differ.
--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -68,6 +68,10 @@
     pub machines: Option<usize>,
     /// Changes a second that the state service takes, if that is little.
     pub writes: Option<f64>,
+    /// Users ask so many times as often: from, to, factor.
+    pub storm: Option<(u64, u64, u64)>,
+    /// Requests a second that the state service takes, if that is little.
+    pub reads: Option<f64>,
     /// Workers on which every task fails.
     pub sick: BTreeSet<usize>,
 }
@@ -174,13 +178,18 @@
     watches: Vec<(usize, u64, CallId, String, u64, Micros)>,
     pub broken: Vec<String>,
     pub starts: u64,
+    /// Questions of a storm, those of them that were answered, and calls of the
+    /// state service meanwhile.
+    pub asked: u64,
+    pub answered: u64,
+    pub calls: u64,
     /// Starts by job.
     begun: BTreeMap<String, u64>,
     /// Machines named in views and wants that controllers sent each other.
     pub told: u64,
 }
 
-fn settings(node: usize, writes: f64) -> Config {
+fn settings(node: usize, writes: f64, reads: f64) -> Config {
     let peers: String = (0..3)
         .filter(|n| *n != node)
         .map(|n| format!("[[peers]]\nmember = \"n{n}\"\naddress = \"10.0.0.{n}:81\"\n"))
@@ -206,7 +215,7 @@
 lease_s = {LEASE_S}
 cancel_s = {CANCEL_S}
 [settings.state]
-rps = 1000.0
+rps = {reads}
 write_rps = {writes}
 value_kb = 8.0
 txn_ops = 8
@@ -229,7 +238,13 @@
             now: Micros::secs(1),
             seq: 0,
             queue: BTreeMap::new(),
-            config: (0..3).map(|n| settings(n, troubles.writes.unwrap_or(1_000.0))).collect(),
+            config: (0..3)
+                .map(|n| {
+                    let [writes, reads] =
+                        [troubles.writes, troubles.reads].map(|r| r.unwrap_or(1_000.0));
+                    settings(n, writes, reads)
+                })
+                .collect(),
             nodes: vec![None, None, None],
             store: Store::default(),
             cloud: Cloud::default(),
@@ -241,6 +256,9 @@
             watches: Vec::new(),
             broken: Vec::new(),
             starts: 0,
+            asked: 0,
+            answered: 0,
+            calls: 0,
             begun: BTreeMap::new(),
             told: 0,
             troubles,
@@ -470,7 +488,10 @@
                 // A little longer than its user would: what is over stays over.
                 if j.over_told.is_none_or(|at| self.now < at + Micros::secs(20)) {
                     self.user_asks(&id, "GET", "", Origin::Poll(id.clone(), self.now));
-                    self.at(self.now + Micros::secs(5), Ev::Poll(id));
+                    let storm = self.troubles.storm.filter(|s| self.during(s.0, s.1));
+                    let again = Micros::millis(5_000 / storm.map_or(1, |s| s.2));
+                    self.asked += u64::from(storm.is_some());
+                    self.at(self.now + again, Ev::Poll(id));
                 }
             }
             Ev::Cancel(id) => {
@@ -610,6 +631,8 @@
         call: StateCall,
         lose: bool,
     ) {
+        let storms = self.troubles.storm.is_some_and(|s| self.during(s.0, s.1));
+        self.calls += u64::from(storms);
         let reply_at = self.now + self.delay();
         let reply = |r| Event::Reply { id, reply: Reply::State(r) };
         let cut =
@@ -876,6 +899,10 @@
             return;
         }
         j.answered = now;
+        let storm = self.troubles.storm.filter(|s| now >= Micros::secs(s.0));
+        if storm.is_some_and(|s| now < Micros::secs(s.1)) && matches!(origin, Origin::Poll(..)) {
+            self.answered += 1;
+        }
         let first = matches!(origin, Origin::Submit(_)) && !j.accepted;
         if let Origin::Submit(_) = origin {
             j.accepted = true;
--- a/tests/three_controllers.rs
+++ b/tests/three_controllers.rs
@@ -276,6 +276,43 @@
     }
 }
 
+/// Users ask many times as often, about more jobs than the state service has
+/// requests: they are answered, by few calls, and never with an older state.
+#[test]
+fn poll_storm() {
+    let mut plans: Vec<Plan> =
+        (0..60).map(|n| Plan { team: "blue", ..Plan::new(3 + n / 8, 3, 1.0, 9.0) }).collect();
+    for n in (0..60).step_by(5) {
+        plans[n].cancel_at_s = Some(18 + n as u64 / 4);
+    }
+    let storm = Troubles { storm: Some((14, 44, 12)), reads: Some(60.0), ..Troubles::default() };
+    let table = [
+        ("quiet", storm.clone()),
+        (
+            "crashes, lost answers",
+            Troubles {
+                crashes: vec![(20, 1), (30, 2)],
+                back_ms: 300,
+                lost: 0.03,
+                late: 0.7,
+                ..storm
+            },
+        ),
+    ];
+    for (name, troubles) in table {
+        for seed in 420..423 {
+            let world = until_done(name, seed, &plans, 400, &troubles);
+            let (asked, answered) = (world.asked, world.answered);
+            assert!(asked > 60 * 30, "{name}, seed {seed}: only {asked} questions");
+            let share = if name == "quiet" { 98 } else { 70 };
+            assert!(answered * 100 > asked * share, "{name}, {seed}: {answered} of {asked}");
+            // Thirty seconds at the service's rate.
+            let calls = world.calls;
+            assert!(calls < 60 * 30, "{name}, seed {seed}: {calls} calls for {asked} questions");
+        }
+    }
+}
+
 /// Jobs with a mistake fail on every machine: no machine is set aside for them, they
 /// are tried at a bounded rate, and a sick machine is found all the same.
 #[test]
