Name a job once in a message of wants, not with each of its tasks

Cause: wants repeat all tasks of a machine at each change, about 95 bytes a task of which 75 describe the job; beside a guest's array the owner's buffers to its peers and the peers' decoding took most. Tasks of a message now point to their job's shape, and share it in memory.

--- a/src/controller/holder.rs
+++ b/src/controller/holder.rs
@@ -6,7 +6,7 @@
 use super::quota::EPS;
 use super::seat::DRIFT;
 use super::{Controller, DirectReply, Effect, HeardWants, MachineHeard, Op, Ticket};
-use crate::peer::{Frame, Heard, Hint, MachineView, Phase, SeatWants, Seen, WantedTask};
+use crate::peer::{Frame, Heard, Hint, MachineView, Phase, Seen, WantedTask, Wants};
 use crate::time::Micros;
 use crate::wire::{Command, DirectCommands, Refusal, Report, ReportReply, ReportTo};
 use log::{debug, info, warn};
@@ -163,8 +163,8 @@
     }
 
     /// Takes in what a seat wants on machines.
-    pub(super) fn hear_wants(&mut self, message: SeatWants) {
-        let s = message.seat as usize;
+    pub(super) fn hear_wants(&mut self, message: Wants) {
+        let s = message.seat;
         if s >= self.wants.len() || message.term < self.seats[s].term {
             return;
         }
@@ -191,26 +191,26 @@
             touched.extend(std::mem::take(&mut heard.machines).into_keys());
         }
         let now = self.now;
-        for m in message.machines {
-            touched.insert(m.machine.clone());
+        for (machine, known, tasks) in message.machines {
+            touched.insert(machine.clone());
             let heard = &mut self.wants[s];
-            let old = heard.machines.get(&m.machine).map_or(&[][..], |old| &old.tasks);
-            for t in &m.tasks {
+            let old = heard.machines.get(&machine).map_or(&[][..], |old| &old.tasks);
+            for t in &tasks {
                 // What was wanted before has been noted.
                 let there =
                     |o: &WantedTask| o.attempt == t.attempt && o.index == t.index && o.job == t.job;
                 if t.stop_ms.is_none() && !old.iter().any(there) {
-                    self.images.note(now, &t.image, &m.machine, t.session);
+                    self.images.note(now, &t.image, &machine, t.session);
                 }
             }
-            heard.count(&m.tasks, 1.0);
-            let h = super::seat::seat_of_machine(&m.machine, self.seats.len());
-            let known = match m.known {
+            heard.count(&tasks, 1.0);
+            let h = super::seat::seat_of_machine(&machine, self.seats.len());
+            let known = match known {
                 0 => message.terms.get(h).copied().unwrap_or(0),
                 known => known,
             };
-            let new = MachineHeard { seq: message.seq, known, tasks: m.tasks };
-            if let Some(old) = heard.machines.insert(m.machine, new) {
+            let new = MachineHeard { seq: message.seq, known, tasks };
+            if let Some(old) = heard.machines.insert(machine, new) {
                 heard.count(&old.tasks, -1.0);
             }
         }
--- a/src/controller/job.rs
+++ b/src/controller/job.rs
@@ -5,7 +5,7 @@
 //! A part's version counts its changes; what is newer than the stored version
 //! has not been written yet and nobody may act on it.
 
-use crate::peer::Seen;
+use crate::peer::{Seen, Shape};
 use crate::time::Micros;
 use crate::wire::{JobSpec, Priority};
 use serde::{Deserialize, Serialize};
@@ -340,6 +340,8 @@
     pub run_times: Vec<Micros>,
     /// Their median, once there are a few.
     pub usual: Option<Micros>,
+    /// What wants last said of it.
+    pub shape: Option<Rc<Shape>>,
 }
 
 impl Job {
@@ -375,6 +377,7 @@
             waits: "new",
             run_times: Vec::new(),
             usual: None,
+            shape: None,
         }
     }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -30,7 +30,7 @@
 
 use crate::cloud::{CloudCall, CloudReply};
 use crate::config::{Config, Options, Settings};
-use crate::peer::{self, Frame, MachineView, SeatWants, WantedTask};
+use crate::peer::{self, Frame, MachineView, WantedTask, Wants};
 use crate::state::{Bucket, StateCall, StateReply, WRITE_SHARE};
 use crate::time::Micros;
 use crate::wire::{JobStage, MachineType};
@@ -741,7 +741,10 @@
             }
         }
         for w in frame.wants {
-            self.hear_wants(w);
+            match w.read() {
+                Some(w) => self.hear_wants(w),
+                None => log::warn!("wants of tasks without a job from peer {from}"),
+            }
         }
         for v in frame.views {
             self.see_view(v);
@@ -852,25 +855,20 @@
             if !self.runs(seat) || self.my_term(seat) != Some(heard.term) || heard.complete == 0 {
                 continue;
             }
-            frame.wants.push(SeatWants {
-                seat: seat as u32,
+            let wanted = heard.machines.iter().filter(|(_, m)| !m.tasks.is_empty());
+            let wants = Wants {
+                seat,
                 term: heard.term,
                 seq: heard.seq,
                 complete: true,
-                machines: heard
-                    .machines
-                    .iter()
-                    .filter(|(_, m)| !m.tasks.is_empty())
-                    .map(|(name, m)| peer::MachineWants {
-                        machine: name.clone(),
-                        tasks: m.tasks.clone(),
-                        // Machine by machine: one that nothing has been wanted on
-                        // since its seat moved would hold up all others of the seat.
-                        known: m.known,
-                    })
+                // Terms machine by machine: one that nothing has been wanted on
+                // since its seat moved would hold up all others of the seat.
+                machines: wanted
+                    .map(|(name, m)| (name.clone(), m.known, m.tasks.clone()))
                     .collect(),
                 terms: Vec::new(),
-            });
+            };
+            frame.wants.push(wants.to_message());
         }
         frame.views = self.posts.keys().filter_map(|m| self.views.get(m)).cloned().collect();
         frame.progress = self
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -5,7 +5,7 @@
 use super::job::{self, Job, JobRecord, Placement, StoredStage};
 use super::seat;
 use super::{Controller, Known, Op};
-use crate::peer::{Frame, MachineView, MachineWants, Phase, Preempt, SeatWants, Seen, WantedTask};
+use crate::peer::{Frame, MachineView, Phase, Preempt, Seen, Shape, WantedTask, Wants};
 use crate::state::{StateCall, StateReply};
 use crate::time::Micros;
 use crate::wire::{Condition, Txn, Write};
@@ -736,29 +736,19 @@
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            let (spec, rank) = (Rc::clone(&job.spec), job.rank());
-            let expected_s = expected_s(job, &self.estimates);
+            let shape = job.shape(expected_s(job, &self.estimates));
             let Some(part) = job.part_of(index) else {
                 continue;
             };
             let stored = part.stored;
             let wanted = |p: &Placement, phase: Phase| WantedTask {
-                job: id.clone(),
+                shape: Rc::clone(&shape),
                 index,
                 attempt: p.attempt,
                 session: p.session,
-                cpus: spec.cpus,
-                gpus: spec.gpus,
-                memory_gb: spec.memory_gb,
-                image: spec.image.clone(),
-                image_gb: spec.image_gb,
                 stop_ms: p.stop.map(Micros::as_millis),
-                rank,
-                team: spec.team.clone(),
-                checkpoint_s: spec.checkpoint_s,
                 placed_s: p.at.0 / 1_000_000,
                 phase: phase as i32,
-                expected_s,
             };
             // Nothing is asked for before it is written down: a start that
             // nobody remembers could run beside the next one. Its room is
@@ -784,64 +774,30 @@
     /// Sends what has changed in the wants of own seats, to the own holder
     /// hat first.
     pub(super) fn send_wants(&mut self, frame: &mut Frame) {
-        let mut messages: Vec<SeatWants> = Vec::new();
-        let terms: Vec<u64> = self.seats.iter().map(|s| s.term).collect();
+        let mut changed: BTreeMap<usize, (bool, Vec<Rc<str>>)> = BTreeMap::new();
         for s in std::mem::take(&mut self.complete_wants) {
-            let Some(term) = self.my_term(s) else {
-                continue;
-            };
-            self.dirty_wants.retain(|(seat, _)| *seat != s);
-            self.seq += 1;
-            let seq = self.seq;
-            let machines: Vec<Rc<str>> = self
-                .by_machine
-                .keys()
-                .filter(|(seat, _)| *seat == s)
-                .map(|(_, m)| Rc::clone(m))
-                .collect();
-            let machines = machines
-                .iter()
-                .map(|m| MachineWants {
-                    machine: m.to_string(),
-                    tasks: self.wants_on(s, m, seq),
-                    known: 0,
-                })
-                .collect();
-            let terms = terms.clone();
-            messages.push(SeatWants { seat: s as u32, term, seq, complete: true, machines, terms });
+            let all = self.by_machine.keys().filter(|(seat, _)| *seat == s);
+            changed.insert(s, (true, all.map(|(_, m)| Rc::clone(m)).collect()));
         }
-        let mut changed: BTreeMap<usize, Vec<Rc<str>>> = BTreeMap::new();
         for (s, m) in std::mem::take(&mut self.dirty_wants) {
-            changed.entry(s).or_default().push(m);
+            let (complete, machines) = changed.entry(s).or_default();
+            if !*complete {
+                machines.push(m);
+            }
         }
-        for (s, machines) in changed {
+        for (s, (complete, machines)) in changed {
             let (Some(term), true) = (self.my_term(s), self.runs_or_releases(s)) else {
                 continue;
             };
             self.seq += 1;
             let seq = self.seq;
-            let machines = machines
-                .iter()
-                .map(|m| MachineWants {
-                    machine: m.to_string(),
-                    tasks: self.wants_on(s, m, seq),
-                    known: 0,
-                })
-                .collect();
-            let terms = terms.clone();
-            messages.push(SeatWants {
-                seat: s as u32,
-                term,
-                seq,
-                complete: false,
-                machines,
-                terms,
-            });
-        }
-        for m in &messages {
-            self.hear_wants(m.clone());
-        }
-        frame.wants.extend(messages);
+            let machines =
+                machines.iter().map(|m| (m.to_string(), 0, self.wants_on(s, m, seq))).collect();
+            let terms = self.seats.iter().map(|s| s.term).collect();
+            let wants = Wants { seat: s, term, seq, complete, machines, terms };
+            frame.wants.push(wants.to_message());
+            self.hear_wants(wants);
+        }
     }
 
     fn runs_or_releases(&self, s: usize) -> bool {
@@ -897,6 +853,31 @@
 }
 
 impl Job {
+    /// What its tasks have in common; the same as long as nothing of it changes.
+    fn shape(&mut self, expected_s: f64) -> Rc<Shape> {
+        let rank = self.rank();
+        match &self.shape {
+            Some(s) if s.rank == rank && s.expected_s == expected_s => Rc::clone(s),
+            _ => {
+                let spec = &self.spec;
+                let shape = Rc::new(Shape {
+                    job: spec.id.clone(),
+                    cpus: spec.cpus,
+                    gpus: spec.gpus,
+                    memory_gb: spec.memory_gb,
+                    image: spec.image.clone(),
+                    image_gb: spec.image_gb,
+                    rank,
+                    team: spec.team.clone(),
+                    checkpoint_s: spec.checkpoint_s,
+                    expected_s,
+                });
+                self.shape = Some(Rc::clone(&shape));
+                shape
+            }
+        }
+    }
+
     fn haste(&self, now: Micros) -> Haste {
         if self.cancelled && !self.over {
             return if self.booked() > 0 { Haste::Now } else { Haste::Later };
