Know lost frames by their numbers, for views as for wants

Found by a rehearsal that drops frames (missed_wants): a view that was lost was never said again, so a finished task's job was never told done; numbers of wants alone did not show it. Every frame has a number, a gap makes the sender's wants unheard, and it is asked for all, again until it has told it.

--- a/src/controller/holder.rs
+++ b/src/controller/holder.rs
@@ -178,17 +178,9 @@
             heard.term = message.term;
             heard.complete = 0;
         }
-        if !message.complete && message.prev != heard.seq {
-            // One was lost with a connection. What it said is not known, so
-            // nothing follows from what the others do not say.
-            heard.complete = 0;
-        }
         if !message.complete && heard.complete == 0 {
             // Changes to a whole that has not been heard; its number is not
             // taken over, or the whole would seem to be known already.
-            if let Some(holder) = self.holder(s).filter(|h| *h != self.me) {
-                self.note_missed.insert(holder as u32);
-            }
             return;
         }
         heard.seq = message.seq;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -258,6 +258,10 @@
     cut_off: bool,
     /// Machines of others' seats that report to it, by seat.
     strays: BTreeMap<usize, u32>,
+    /// Number of its last frame.
+    number: u64,
+    /// A frame of it was lost, and it has not told all since.
+    behind: bool,
 }
 
 /// What is known of a job's stage from the state service.
@@ -391,9 +395,10 @@
     dirty_progress: BTreeSet<String>,
     note_cancelled: Vec<String>,
     note_gone: Vec<String>,
-    /// Peers of whom something was missed, and when they were last told so.
-    note_missed: BTreeSet<u32>,
+    /// When peers of whom something was missed were last told so.
     missed_at: Micros,
+    /// Number of the last frame.
+    frames: u64,
     note_preempt: Vec<peer::Preempt>,
     /// Tasks of other seats that were asked to make room, and when.
     asked: BTreeMap<Key, (Micros, Rc<str>)>,
@@ -500,8 +505,8 @@
             dirty_progress: BTreeSet::new(),
             note_cancelled: Vec::new(),
             note_gone: Vec::new(),
-            note_missed: BTreeSet::new(),
             missed_at: Micros::ZERO,
+            frames: 0,
             note_preempt: Vec::new(),
             asked: BTreeMap::new(),
             sync_peers: BTreeSet::new(),
@@ -712,6 +717,21 @@
         let Some(info) = self.peers.get_mut(&from) else {
             return;
         };
+        let next = info.run == frame.run && info.number + 1 == frame.number;
+        info.number = frame.number;
+        info.behind = !frame.full && (info.behind || !next);
+        if !frame.full && !next {
+            // What was lost is not known, so nothing follows from what the rest
+            // does not name.
+            for s in 0..self.seats.len() {
+                if self.holder(s) == Some(from) {
+                    self.wants[s].complete = 0;
+                }
+            }
+        }
+        let Some(info) = self.peers.get_mut(&from) else {
+            return;
+        };
         if info.run != frame.run {
             info.run = frame.run;
             info.well_since = None;
@@ -807,9 +827,12 @@
         frame.cancelled = std::mem::take(&mut self.note_cancelled);
         frame.gone = std::mem::take(&mut self.note_gone);
         frame.preempt = std::mem::take(&mut self.note_preempt);
-        if !self.note_missed.is_empty() && self.now >= self.missed_at {
-            self.missed_at = self.now + MISSED_EVERY;
-            frame.missed = std::mem::take(&mut self.note_missed).into_iter().collect();
+        if self.now >= self.missed_at {
+            let behind = self.peers.iter().filter(|(_, p)| p.behind);
+            frame.missed = behind.map(|(n, _)| *n as u32).collect();
+            if !frame.missed.is_empty() {
+                self.missed_at = self.now + MISSED_EVERY;
+            }
         }
         let beat = self.now >= self.beat_at;
         let idle = frame == Frame::default();
@@ -828,6 +851,8 @@
         if beat {
             self.beat_at = self.now + Micros::millis(800);
         }
+        self.frames += 1;
+        frame.number = self.frames;
         frame.member.clone_from(&self.member);
         frame.run = self.run;
         frame.state_ok = acting;
@@ -869,6 +894,7 @@
 
     /// Everything that a peer must know which has heard nothing so far.
     fn full_frame(&self, mut frame: Frame) -> Frame {
+        frame.full = true;
         frame.wants.clear();
         for seat in 0..self.seats.len() {
             let heard = &self.wants[seat];
@@ -887,7 +913,6 @@
                     .map(|(name, m)| (name.clone(), m.known, m.tasks.clone()))
                     .collect(),
                 terms: Vec::new(),
-                prev: 0,
                 knows: heard.knows.clone(),
             };
             frame.wants.push(wants.to_message());
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -804,9 +804,7 @@
                 machines.iter().map(|m| (m.to_string(), 0, self.wants_on(s, m, seq))).collect();
             let terms: Vec<u64> = self.seats.iter().map(|s| s.term).collect();
             let knows = terms.clone();
-            let heard = &self.wants[s];
-            let prev = if heard.term == term { heard.seq } else { 0 };
-            let wants = Wants { seat: s, term, seq, complete, machines, terms, prev, knows };
+            let wants = Wants { seat: s, term, seq, complete, machines, terms, knows };
             frame.wants.push(wants.to_message());
             self.hear_wants(wants);
         }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,7 +1,8 @@
 //! What controllers tell each other, as length-prefixed `prost` frames.
 //!
 //! Everything here is whole-state: a lost frame is made good by the next one
-//! about the same thing, so nothing needs an answer.
+//! about the same thing, so nothing needs an answer. A gap in a sender's frames is
+//! known by their numbers, and all is asked for anew.
 
 use prost::Message;
 use std::collections::BTreeMap;
@@ -135,8 +136,6 @@
     pub machines: Vec<(String, u64, Vec<WantedTask>)>,
     /// Terms of all seats, as the sender knew them.
     pub terms: Vec<u64>,
-    /// Number of the message before; see [`SeatWants`].
-    pub prev: u64,
     /// See [`SeatWants`].
     pub knows: Vec<u64>,
 }
@@ -175,7 +174,6 @@
             machines,
             terms: self.terms.clone(),
             shapes,
-            prev: self.prev,
             knows: self.knows.clone(),
         }
     }
@@ -208,7 +206,6 @@
             complete: self.complete,
             machines,
             terms: self.terms,
-            prev: self.prev,
             knows: self.knows,
         })
     }
@@ -268,10 +265,6 @@
     /// Jobs of the tasks.
     #[prost(message, repeated, tag = "7")]
     pub shapes: Vec<Shape>,
-    /// Number of the seat's message before this one in its term: one that was lost
-    /// with a connection shows as a gap.
-    #[prost(uint64, tag = "8")]
-    pub prev: u64,
     /// Terms of all seats that the sender knew when it made this, or the newest
     /// change that is in it. Only from one who knows the term of a machine's seat
     /// does it follow that a task which is not named is not wanted there.
@@ -574,6 +567,13 @@
     /// Members of whom the sender missed something: they are to tell it all.
     #[prost(uint32, repeated, tag = "19")]
     pub missed: Vec<u32>,
+    /// Counts the sender's frames, the same for all peers: one that was lost with a
+    /// connection shows as a gap.
+    #[prost(uint64, tag = "20")]
+    pub number: u64,
+    /// It tells everything: what was missed before does not matter any more.
+    #[prost(bool, tag = "21")]
+    pub full: bool,
 }
 
 /// Appends a frame with its length in front.
--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -45,6 +45,8 @@
     pub peer_cuts: Vec<(usize, usize, u64, u64)>,
     /// The same by reset: frames are lost, and connections made anew afterwards.
     pub peer_resets: Vec<(usize, usize, u64, u64)>,
+    /// Chance that a frame is lost while its connection goes on.
+    pub dropped: f64,
     /// Frames from one controller to another are held; the other way is open.
     pub one_way: Vec<(usize, usize, u64, u64)>,
     /// A worker is cut off (`true`: hangs); what is sent to it arrives late.
@@ -629,6 +631,9 @@
                 self.told += frame.wants.iter().map(|w| w.machines.len() as u64).sum::<u64>();
                 let machines = frame.wants.iter().flat_map(|w| &w.machines);
                 self.named += machines.map(|m| m.tasks.len() as u64).sum::<u64>();
+                if self.chance(self.troubles.dropped) {
+                    return;
+                }
                 let Some((link, last)) = self.links.get(&(node, to)).copied() else {
                     return;
                 };
--- a/tests/three_controllers.rs
+++ b/tests/three_controllers.rs
@@ -442,15 +442,18 @@
 fn missed_wants() {
     let blue = |at_s, tasks| Plan { team: "blue", ..Plan::new(at_s, tasks, 1.0, 14.0) };
     let plans: Vec<Plan> = (0..30).map(|n| blue(3 + n * 2, 5)).collect();
-    let troubles = Troubles {
-        machines: Some(20),
-        peer_resets: vec![(0, 1, 12, 50)],
-        state_cuts: vec![(2, 18, 44)],
-        ..Troubles::default()
-    };
-    for seed in 440..446 {
-        let world = until_done("resets, and a seat that moves", seed, &plans, 300, &troubles);
-        assert!(world.stopped.is_empty(), "seed {seed}: stopped {:?}", world.stopped);
+    let moves =
+        Troubles { machines: Some(20), state_cuts: vec![(2, 18, 44)], ..Troubles::default() };
+    let table = [
+        ("resets", Troubles { peer_resets: vec![(0, 1, 12, 50)], ..moves.clone() }),
+        // A frame that is lost while others arrive is a gap, which is asked about.
+        ("frames lost", Troubles { dropped: 0.1, ..moves }),
+    ];
+    for (name, troubles) in table {
+        for seed in 440..446 {
+            let world = until_done(name, seed, &plans, 300, &troubles);
+            assert!(world.stopped.is_empty(), "{name}, seed {seed}: stopped {:?}", world.stopped);
+        }
     }
 }
 
