Replace late boots and return lost ones sooner; bound unseen starts by machines

Cause: a machine that never came up counted as room for five boot times and half a minute, and took one of the cloud's places. After two boot times it is no longer counted on (a quarter of the fleet at most), after 3.3 it is returned. Unseen placements may be two a machine where that is more than 1,500: whole waves of machines come up at once.

--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -22,7 +22,8 @@
 const SETTLE: Micros = Micros::millis(250);
 /// Placements in one pass.
 const PASS_TASKS: usize = 64;
-/// Placements of which nothing has been seen on their machines, at most.
+/// Placements of which nothing has been seen on their machines, at most: so many, or
+/// two for each machine, since whole waves of machines come up at once.
 const MOST_UNSEEN: usize = 1_500;
 /// Searches in one pass for tasks that make room; each walks the fleet.
 const PASS_SEARCHES: usize = 8;
@@ -255,7 +256,8 @@
         };
         theirs.sort_by_key(Demand::turn);
         for (turn, id) in order {
-            let full = self.unseen >= MOST_UNSEEN || self.waiting_parts() >= self.part_backlog();
+            let full =
+                self.unseen >= self.most_unseen() || self.waiting_parts() >= self.part_backlog();
             if pass.left == 0 || full {
                 self.place_wanted = true;
                 break;
@@ -285,6 +287,10 @@
         self.unseen = placed.filter(|p| p.seen.is_none() && p.stop.is_none()).count();
     }
 
+    fn most_unseen(&self) -> usize {
+        MOST_UNSEEN.max(2 * self.views.len())
+    }
+
     /// Placements wait for writes in a small buffer, about a second's worth: a
     /// later decision knows more.
     fn part_backlog(&self) -> usize {
@@ -352,7 +358,7 @@
             if (0..2).any(|r| need[r] > 0.0 && used[r] + need[r] > grant[r] + EPS) {
                 break "the team's limit";
             }
-            if pass.left == 0 || self.unseen >= MOST_UNSEEN {
+            if pass.left == 0 || self.unseen >= self.most_unseen() {
                 break "the next pass";
             }
             let suits = |m: &Slot| {
--- a/src/controller/renter.rs
+++ b/src/controller/renter.rs
@@ -24,8 +24,15 @@
 /// A machine must have been spared by the placers for this long before it is
 /// returned: a decision made before the news of it may still be on its way.
 const DRAIN: Micros = Micros::secs(4);
-/// A machine that is not up after so many times its boot time never will be.
-const BOOT_FACTOR: u64 = 5;
+/// A boot that takes longer than this many times its time is late: from then on the
+/// machine is no longer counted on, and another is rented.
+const LATE_BOOT: f64 = 2.0;
+/// After this many times it is taken never to come up, and is returned: it takes a
+/// place of the cloud's.
+const LOST_BOOT: f64 = 3.3;
+/// Part of the machines that may be replaced so at once: where all boots are late,
+/// renting the fleet a second time would help nobody.
+const REPLACED: usize = 4;
 
 impl Controller {
     pub(super) fn tend_fleet(&mut self) {
@@ -88,11 +95,18 @@
         }
         self.refresh_slots();
         let mut rooms: Vec<Room> = self.free_rooms();
+        let mut replaced = self.fleet.machines.len() / REPLACED;
         for (name, m) in &self.fleet.machines {
             let up = self.views.get(name).is_some_and(|v| v.known);
             if up || m.stage == MachineStage::Failed || self.fleet.draining.contains_key(name) {
                 continue;
             }
+            let late = m.stage != MachineStage::Running
+                && now.since(m.since) > self.boot_limit(&m.machine_type, LATE_BOOT);
+            if late && replaced > 0 {
+                replaced -= 1;
+                continue;
+            }
             if let Some(t) = self.types.get(&m.machine_type) {
                 rooms.push(Room {
                     machine_type: Rc::from(m.machine_type.as_str()),
@@ -116,6 +130,12 @@
         self.send_rent(term);
     }
 
+    /// So many times a machine type's boot time.
+    fn boot_limit(&self, machine_type: &str, times: f64) -> Micros {
+        let nominal = self.types.get(machine_type).map_or(60.0, |t| t.boot_s);
+        Micros::from_secs_f64(nominal * times)
+    }
+
     fn plan_returns(&mut self) {
         let now = self.now;
         self.refresh_slots();
@@ -123,15 +143,13 @@
         let waiting = !self.all_demand().is_empty();
         let mut drain: Vec<String> = Vec::new();
         let mut give: Vec<String> = Vec::new();
+        let limit = |t: &String| (t.clone(), self.boot_limit(t, LOST_BOOT));
+        let limits: BTreeMap<String, Micros> = self.types.keys().map(limit).collect();
         for (name, m) in &mut self.fleet.machines {
             let view = self.views.get(name);
-            let boot = self
-                .types
-                .get(&m.machine_type)
-                .map_or(Micros::secs(60), |t| Micros::from_secs_f64(t.boot_s));
             let never_up = view.is_none()
                 && m.stage != MachineStage::Running
-                && now.since(m.since) > Micros(boot.0 * BOOT_FACTOR) + Micros::secs(30);
+                && now.since(m.since) > limits.get(&m.machine_type).copied().unwrap_or(Micros::FAR);
             if m.stage == MachineStage::Failed || never_up {
                 give.push(name.clone());
                 continue;
