--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -57,6 +57,8 @@
     /// A controller and all workers are out of each other's reach, by reset
     /// or (`true`) by packets that are held: controller, from, to.
     pub node_cuts: Vec<(usize, u64, u64, bool)>,
+    /// Workers that only one controller reaches and hears: worker, controller, from, to.
+    pub only: Vec<(usize, usize, u64, u64)>,
     /// Chance that a copy of a report arrives again, up to 40 s later, at any
     /// controller.
     pub copies: f64,
@@ -74,6 +76,8 @@
     pub writes: Option<f64>,
     /// Users ask so many times as often: from, to, factor.
     pub storm: Option<(u64, u64, u64)>,
+    /// Watches tell of changes so much later, in milliseconds.
+    pub slow_watches: u64,
     /// Requests a second that the state service takes, if that is little.
     pub reads: Option<f64>,
     /// Workers on which every task fails.
@@ -367,6 +371,12 @@
         Some((Micros::secs(cut.2), cut.3))
     }
 
+    /// Whether a worker and a controller are apart because another alone reaches it.
+    fn apart(&self, worker: usize, node: usize) -> bool {
+        let mut only = self.troubles.only.iter();
+        only.any(|(w, n, from, to)| *w == worker && *n != node && self.during(*from, *to))
+    }
+
     fn deaf(&self, worker: usize) -> bool {
         self.troubles.deaf.iter().any(|(w, from, to)| *w == worker && self.during(*from, *to))
     }
@@ -600,7 +610,10 @@
                 let node_cut = self.node_cut(node);
                 let cut = self.worker_cut(worker).or(node_cut.map(|(end, _)| end));
                 let event = Event::Reply { id, reply: Reply::Direct(DirectReply::Unknown) };
-                if self.deaf(worker) || node_cut.is_some_and(|(_, held)| !held) {
+                if self.deaf(worker)
+                    || self.apart(worker, node)
+                    || node_cut.is_some_and(|(_, held)| !held)
+                {
                     let at = self.now + Micros::secs(3);
                     self.at(at, Ev::Node { node, incarnation, event });
                 } else if held || cut.is_some() {
@@ -698,7 +711,7 @@
             false
         });
         for (node, incarnation, id, r) in ready {
-            let at = now + self.delay();
+            let at = now + self.delay() + Micros::millis(self.troubles.slow_watches);
             let event = Event::Reply { id, reply: Reply::State(r) };
             self.at(at, Ev::Node { node, incarnation, event });
         }
@@ -751,7 +764,7 @@
             self.next_ticket += 1;
             self.tickets.insert(ticket, Origin::Worker { worker, sent, report });
             let cut = self.node_cut(node);
-            let reset = cut.is_some_and(|(_, held)| !held);
+            let reset = cut.is_some_and(|(_, held)| !held) || self.apart(worker, node);
             let patience = if reset { Micros::millis(200) } else { Micros::secs(4) };
             self.at(now + patience, Ev::GiveUp { worker, report });
             let event = Event::Http {
--- a/tests/three_controllers.rs
+++ b/tests/three_controllers.rs
@@ -303,6 +303,15 @@
                 back_ms: 300,
                 lost: 0.03,
                 late: 0.7,
+                ..storm.clone()
+            },
+        ),
+        (
+            // Nothing but the comparison tells a node of a cancellation elsewhere.
+            "slow watches, controllers apart",
+            Troubles {
+                slow_watches: 4_000,
+                peer_resets: vec![(0, 1, 12, 50), (0, 2, 12, 50), (1, 2, 12, 50)],
                 ..storm
             },
         ),
@@ -369,6 +378,29 @@
     }
 }
 
+/// A controller loses the state service and the others, and half of the machines hear
+/// it alone. Its own clock is all that tells it to stop answering them: their new
+/// holder begins their tasks elsewhere as soon as nobody can have kept them alive.
+#[test]
+fn alone_with_its_workers() {
+    let blue = |at_s, run_s| Plan { team: "blue", ..Plan::new(at_s, 6, 1.0, run_s) };
+    let plans: Vec<Plan> = (0..10).map(|n| blue(3 + n, 50.0 + n as f64)).collect();
+    let table = [("cut", vec![]), ("cut, and it stood still", vec![(0, 12, 20)])];
+    for (name, frozen) in table {
+        let troubles = Troubles {
+            machines: Some(24),
+            state_cuts: vec![(0, 14, 80)],
+            peer_cuts: vec![(0, 1, 14, 80), (0, 2, 14, 80)],
+            only: (0..24).step_by(2).map(|w| (w, 0, 14, 80)).collect(),
+            frozen,
+            ..Troubles::default()
+        };
+        for seed in 460..464 {
+            until_done(name, seed, &plans, 400, &troubles);
+        }
+    }
+}
+
 /// A fleet of well over a thousand machines with little to do: what controllers
 /// tell each other grows with what happens, not with the machines.
 #[test]
