Let low tasks that wait for writes or news keep no urgent ones out

Less urgent parts are written later anyway, so they no longer count, and more urgent tasks may have more unseen.

--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -256,9 +256,15 @@
         };
         theirs.sort_by_key(Demand::turn);
         for (turn, id) in order {
-            let full =
-                self.unseen >= self.most_unseen() || self.waiting_parts() >= self.part_backlog();
-            if pass.left == 0 || full {
+            let (_, rank) = turn;
+            let full = self.unseen >= self.most_unseen(rank)
+                || self.waiting_parts(rank) >= self.part_backlog();
+            if full {
+                // Those behind it may be more urgent, if beyond their guarantee.
+                self.place_wanted = true;
+                continue;
+            }
+            if pass.left == 0 {
                 self.place_wanted = true;
                 break;
             }
@@ -274,9 +280,11 @@
         self.slots.release_holds();
     }
 
-    /// Parts with placements that are not stored yet.
-    fn waiting_parts(&self) -> usize {
-        self.dirty_jobs.iter().filter_map(|id| self.jobs.get(id)).map(Job::fresh_parts).sum()
+    /// Parts with placements that are not stored yet, of jobs that are as urgent: the
+    /// others are written after them and hold nothing up.
+    fn waiting_parts(&self, rank: u32) -> usize {
+        let dirty = self.dirty_jobs.iter().filter_map(|id| self.jobs.get(id));
+        dirty.filter(|j| j.rank() <= rank).map(Job::fresh_parts).sum()
     }
 
     /// Counts the placements of which nothing has been seen on their machines yet.
@@ -287,8 +295,10 @@
         self.unseen = placed.filter(|p| p.seen.is_none() && p.stop.is_none()).count();
     }
 
-    fn most_unseen(&self) -> usize {
-        MOST_UNSEEN.max(2 * self.views.len())
+    /// The more urgent, the more: an array of low tasks that fills its part of the
+    /// buffer must not keep urgent ones out.
+    fn most_unseen(&self, rank: u32) -> usize {
+        MOST_UNSEEN.max(2 * self.views.len()) * (4 - rank.min(3) as usize)
     }
 
     /// Placements wait for writes in a small buffer, about a second's worth: a
@@ -358,7 +368,7 @@
             if (0..2).any(|r| need[r] > 0.0 && used[r] + need[r] > grant[r] + EPS) {
                 break "the team's limit";
             }
-            if pass.left == 0 || self.unseen >= self.most_unseen() {
+            if pass.left == 0 || self.unseen >= self.most_unseen(rank) {
                 break "the next pass";
             }
             let suits = |m: &Slot| {
