Spend no grant that a change without an answer may still have lowered

Ruled out: a late raising, since only what is stored is spent. Now the lowest of all changes sent on a version counts until the key changes, and a change without an answer is made to fail by the next write. Table: grants.

--- a/src/controller/quota.rs
+++ b/src/controller/quota.rs
@@ -32,8 +32,11 @@
     pub mark: u64,
     /// A change is under way.
     pub busy: bool,
-    /// Grants of own seats that a change under way may already have lowered.
+    /// Grants of own seats that changes under way may already have lowered.
     pub lowered: BTreeMap<usize, Amount>,
+    /// What became of a change is not known: it may be carried out at any time, as
+    /// long as the key stays as it is.
+    pub unsure: bool,
 }
 
 impl TeamQuota {
@@ -47,6 +50,7 @@
             mark: 0,
             busy: false,
             lowered: BTreeMap::new(),
+            unsure: false,
         }
     }
 
@@ -60,6 +64,7 @@
         self.mark = mark;
         // Whatever was under way is conditional on the older version and dead.
         self.lowered.clear();
+        self.unsure = false;
         self.grants.clear();
         let Value::Object(map) = value else {
             return;
@@ -73,6 +78,22 @@
         }
     }
 
+    /// A change of a seat's grant is sent. One without an answer that was sent on
+    /// the same version may be carried out instead, so the lowest counts.
+    pub fn sends(&mut self, seat: usize, grant: Amount) {
+        let lowest = self.lowered.entry(seat).or_insert(grant);
+        *lowest = [0, 1].map(|r| lowest[r].min(grant[r]));
+        self.busy = true;
+    }
+
+    /// The last change was surely not carried out.
+    pub fn refused(&mut self) {
+        self.busy = false;
+        if !self.unsure {
+            self.lowered.clear();
+        }
+    }
+
     /// What a seat may use now. While a lowering is under way it may already
     /// have been applied and the rest given to another seat.
     pub fn grant(&self, seat: usize) -> Amount {
--- a/src/controller/quotas.rs
+++ b/src/controller/quotas.rs
@@ -109,7 +109,8 @@
         }
         let now = q.grants.get(&s).copied().unwrap_or_default();
         let wanted = q.wanted(s, seats, used, &waits, &others);
-        if (0..2).all(|r| (wanted[r] - now[r]).abs() < EPS) {
+        // What may still come late is made to fail by any change of the key.
+        if !q.unsure && (0..2).all(|r| (wanted[r] - now[r]).abs() < EPS) {
             return;
         }
         let Some(value) = q.with_grant(s, wanted) else {
@@ -120,9 +121,8 @@
         if self.puts.level(self.now) < 1.0 + reserve {
             return;
         }
-        q.busy = true;
         // From here on the lowering may be applied at any time.
-        q.lowered.insert(s, wanted);
+        q.sends(s, wanted);
         let key = quota::key(team);
         let txn = Txn {
             conditions: vec![
@@ -219,12 +219,17 @@
             }
             (Op::QuotaWrite { team, .. }, StateReply::Refused) => {
                 if let Some(q) = self.quotas.get_mut(&team) {
-                    q.busy = false;
+                    q.refused();
                 }
             }
             // Perhaps applied: until what is stored is read, the lower grant
             // holds, and a late one fails once the key has changed again.
-            (Op::QuotaWrite { team, .. }, _) => self.read_quota(&team),
+            (Op::QuotaWrite { team, .. }, reply) => {
+                if let Some(q) = self.quotas.get_mut(&team) {
+                    q.unsure |= !matches!(reply, StateReply::Conflict(_));
+                }
+                self.read_quota(&team);
+            }
             (Op::QuotaRead { team }, StateReply::Value(item)) => {
                 if let Some(item) = item {
                     self.see_quota(&team, &item.value, item.version);
