Holders stop cancelled tasks themselves, and answer only while they hear of cancels

- A machine's holder acts on the watch of jobs itself; it reads jobs that it does not know, and answers no report once the watch has said nothing for long.
The longest time is worked out from lease_s and cancel_s; a state lease that is too long is shortened, or a warning says that none is short enough.
- Cancellations are told to peers until each is known to have heard.
- A session that only a direct command told of has its own lease (it was taken for over at once, which could start its tasks twice); machines that only commands reach are given nothing new.
- A seat that was given up without an answer is taken anew under a new term instead of being acted on under the old one.
- Cancellations while a seat's jobs are being read are seen; a submission whose answer was lost is run by its seat also if the user turns elsewhere.
- A stage that is not final, or a 404, is told only by a read begun within a second; acceptances are answered with what is known by then.

--- a/src/controller/accept.rs
+++ b/src/controller/accept.rs
@@ -8,7 +8,7 @@
 use super::{Controller, Known, Op, Ticket, seat};
 use crate::state::{StateCall, StateReply};
 use crate::time::Micros;
-use crate::wire::{Condition, JobAnswer, JobSpec, JobStage, Refusal, Txn, Write};
+use crate::wire::{Condition, JobSpec, Refusal, Txn, Write};
 use log::info;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -220,9 +220,14 @@
                     self.read_or(a.ticket, &a.spec.id, 503, Some(1), &otherwise);
                 }
             }
-            // They may still be applied; the watch then shows the jobs.
+            // They may still be applied; the watch then shows the jobs, or has done
+            // so already, when it could not be told from the acceptance under way.
             _ => {
                 for a in list {
+                    let known = self.known.get(&a.spec.id).copied();
+                    if let Some(k) = known.filter(|k| k.stage == StoredStage::Accepted) {
+                        self.adopt(&a.spec.id, k.seat);
+                    }
                     self.later(a.ticket, 503, "state service away");
                 }
             }
@@ -252,7 +257,9 @@
             self.jobs.insert(spec.id.clone(), job);
             self.place_wanted = true;
         }
-        let answer = JobAnswer { id: &spec.id, stage: JobStage::Queued, done: 0, running: 0 };
+        // Others may have said more of it while the answer was on its way here.
+        let known = self.known.get(&spec.id).copied().unwrap_or(known);
+        let answer = self.job_answer(&spec.id, known);
         self.respond(a.ticket, 201, None, &answer);
     }
 
--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -220,8 +220,8 @@
         answer: &Refusal<'_>,
     ) {
         let body = serde_json::to_vec(answer).unwrap_or_default();
-        let op =
-            Op::SubmitRead { ticket, job: id.to_string(), otherwise: (status, retry_after, body) };
+        let otherwise = (status, retry_after, body);
+        let op = Op::SubmitRead { ticket, job: id.to_string(), sent: self.now, otherwise };
         self.state(op, StateCall::Get(job::job_key(id)));
     }
 
@@ -294,7 +294,15 @@
             Op::Accept { list, seat, term, bundle } => {
                 self.accept_reply(list, seat, term, bundle, reply);
             }
-            Op::SubmitRead { ticket, job, otherwise } => match self.read_record(&job, &reply) {
+            Op::SubmitRead { ticket, job, sent, otherwise } => match self.read_record(&job, &reply)
+            {
+                Some(Some((known, _)))
+                    if known.stage == StoredStage::Accepted && !self.fresh(sent) =>
+                {
+                    self.later(ticket, 503, "the state service is slow");
+                }
+                // Accepted since the read.
+                Some(None) if self.known.contains_key(&job) => self.later(ticket, 503, "undecided"),
                 Some(Some((known, _))) => {
                     let answer = self.job_answer(&job, known);
                     self.respond(ticket, 200, None, &answer);
@@ -305,8 +313,8 @@
                 }
                 None => self.later(ticket, 503, "state service away"),
             },
-            Op::Poll { tickets, job } => self.poll_read(tickets, &job, &reply),
-            Op::Check { jobs } => self.checked(jobs, reply),
+            Op::Poll { tickets, job, sent } => self.poll_read(tickets, &job, sent, &reply),
+            Op::Check { jobs, sent } => self.checked(jobs, sent, reply),
             Op::CancelRead { ticket, job, tries } => match self.read_record(&job, &reply) {
                 Some(Some((known, mark))) if known.stage == StoredStage::Accepted => {
                     let record = JobRecord {
@@ -340,7 +348,7 @@
                     info!("job {job} cancelled by its user");
                     let known = Known { stage: StoredStage::Cancelled, seat, tasks, mark };
                     self.note_known(&job, known);
-                    self.note_cancelled.push(job.clone());
+                    self.tell_cancelled(&job, mark);
                     self.job_cancelled(&job);
                     let answer = self.job_answer(&job, known);
                     self.respond(ticket, 200, None, &answer);
--- /dev/null
+++ b/src/controller/cancel.rs
@@ -0,0 +1,147 @@
+//! Cancellations, as the holder of a machine's seat carries them out by itself.
+//!
+//! A job's owner stops its tasks by what it wants on machines. Its word may not
+//! get through: the controllers are out of each other's reach, or the owner is
+//! gone and nobody can take its seat while the state service is away. Whoever
+//! answers a machine's reports keeps its tasks alive, so that one acts on what it
+//! knows itself, and answers only while it is sure to hear of cancellations.
+
+use super::job::StoredStage;
+use super::machine::{self, Key};
+use super::{Controller, Known, Op, Watch, job};
+use crate::config::Workers;
+use crate::state::{StateCall, StateReply};
+use crate::time::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Left of the time that a cancellation has for what is not counted: the way of
+/// the last answer, and clocks that are read in steps.
+const MARGIN: Micros = Micros::secs(3);
+/// The shortest state lease that still rides out a slow renewal.
+const SHORTEST_LEASE: Micros = Micros::secs(2);
+/// Between reads of jobs of which this process knows nothing, and reads at once.
+const READ_EVERY: Micros = Micros::millis(100);
+const READS: usize = 2;
+/// Unknown jobs remembered at most; others are found again by their next report.
+const MOST_UNKNOWN: usize = 1_000;
+/// Cancellations repeated to peers in one frame, at most.
+const MOST_RETOLD: usize = 200;
+
+/// How long after a confirmed cancellation a worker's report may still be answered
+/// by a controller that does not know of it: what a cancellation has, less the
+/// worker's own lease, which the last such answer begins anew.
+pub fn unheard_for(workers: &Workers) -> Micros {
+    let lease = Micros::from_secs_f64(workers.lease_s).stretched(super::seat::DRIFT);
+    Micros::from_secs_f64(workers.cancel_s).since(lease + MARGIN)
+}
+
+/// The state lease to use where `wished` is too long: a holder that the state
+/// service refuses goes on for as long, and cannot hear of cancellations. The
+/// second value is false where no usable lease is short enough.
+pub fn fitting_lease(wished: Micros, workers: &Workers) -> (Micros, bool) {
+    let most = unheard_for(workers);
+    (wished.min(most.max(SHORTEST_LEASE)), most >= SHORTEST_LEASE)
+}
+
+/// What this process does about cancellations beside its own jobs.
+#[derive(Debug, Default)]
+pub(super) struct Cancels {
+    /// Jobs with tasks on own machines of which nothing is known from the store.
+    unknown: BTreeSet<String>,
+    reading: usize,
+    read_at: Micros,
+    /// Cancellations confirmed here that some peer has not heard for certain, with
+    /// the revision of each and until when they are repeated.
+    retold: BTreeMap<String, (u64, Micros)>,
+}
+
+impl Controller {
+    /// Whether every cancellation that was confirmed long enough ago has been heard.
+    /// A watch that says nothing while renewals go through (it hangs, or this
+    /// process lags behind) would otherwise keep cancelled tasks alive.
+    pub(super) fn hears_cancellations(&self) -> bool {
+        let most = unheard_for(&self.settings.workers).max(self.options.seat_lease);
+        let most = most.min(Micros(2 * self.options.seat_lease.0));
+        let heard = self.follow.get(&Watch::Jobs).map_or(Micros::ZERO, |f| f.heard());
+        self.now.since(heard) <= most
+    }
+
+    /// A job was found to be cancelled: its tasks on own machines are stopped at
+    /// once, whoever runs it.
+    pub(super) fn stop_on_machines(&mut self, id: &str) {
+        let first = Key { job: id.to_string(), index: 0, attempt: 0 };
+        let has = |keys: Option<&Key>| keys.is_some_and(|k| k.job == id);
+        let there = |p: &machine::Post| {
+            has(p.tasks.range(&first..).next().map(|(k, _)| k))
+                || has(p.sent.range(&first..).next().map(|(k, _)| k))
+                || has(p.waiting.range(&first..).next())
+        };
+        let machines = self.posts.iter().filter(|(_, p)| there(p)).map(|(m, _)| m.clone());
+        let machines: Vec<String> = machines.collect();
+        self.dirty_posts.extend(machines);
+    }
+
+    /// A machine has a task of a job of which nothing is known here: it may have
+    /// been cancelled before this process began to listen.
+    pub(super) fn note_unknown(&mut self, jobs: Vec<String>) {
+        for id in jobs {
+            if self.cancels.unknown.len() < MOST_UNKNOWN {
+                self.cancels.unknown.insert(id);
+            }
+        }
+    }
+
+    /// Forgets which jobs are known to be unfinished: changes may have been missed.
+    pub(super) fn doubt_unfinished(&mut self) {
+        self.known.retain(|_, k| k.stage != StoredStage::Accepted);
+    }
+
+    /// Reads unknown jobs, a few at a time.
+    pub(super) fn tend_unknown(&mut self) {
+        if !self.acting() || self.cancels.reading >= READS || self.now < self.cancels.read_at {
+            return;
+        }
+        while let Some(id) = self.cancels.unknown.pop_first() {
+            if self.known.contains_key(&id) {
+                continue;
+            }
+            self.cancels.reading += 1;
+            self.cancels.read_at = self.now + READ_EVERY;
+            let key = job::job_key(&id);
+            return self.state(Op::ReadUnknown { job: id }, StateCall::Get(key));
+        }
+    }
+
+    pub(super) fn unknown_read(&mut self, id: &str, reply: &StateReply) {
+        self.cancels.reading = self.cancels.reading.saturating_sub(1);
+        self.read_record(id, reply);
+    }
+
+    /// A cancellation was confirmed here: peers are told now, and again until each
+    /// is known to have heard.
+    pub(super) fn tell_cancelled(&mut self, id: &str, mark: u64) {
+        self.note_cancelled.push(id.to_string());
+        let until = self.now + Micros::from_secs_f64(self.settings.workers.cancel_s);
+        self.cancels.retold.insert(id.to_string(), (mark, until));
+    }
+
+    /// Cancellations to be told once more.
+    pub(super) fn retell_cancelled(&mut self) -> Vec<String> {
+        let now = self.now;
+        let heard = self.peers.values().map(|p| p.watched).min().unwrap_or(u64::MAX);
+        self.cancels.retold.retain(|_, (mark, until)| *mark > heard && now < *until);
+        self.cancels.retold.keys().take(MOST_RETOLD).cloned().collect()
+    }
+
+    /// A peer says that it has confirmed a cancellation.
+    pub(super) fn hear_cancelled(&mut self, id: &str) {
+        let cancelled = StoredStage::Cancelled;
+        let known = match self.known.get(id).copied() {
+            Some(known) => Known { stage: cancelled, ..known },
+            // Which seat runs it does not matter any more.
+            None => Known { stage: cancelled, seat: usize::MAX, tasks: 0, mark: 0 },
+        };
+        self.note_known(id, known);
+        self.job_cancelled(id);
+    }
+}
--- a/src/controller/holder.rs
+++ b/src/controller/holder.rs
@@ -87,6 +87,12 @@
                 _ => self.respond(ticket, 503, Some(1), &away),
             };
         };
+        if !self.hears_cancellations() {
+            // Its answer would keep tasks alive whose users were told that they
+            // are cancelled.
+            let lags = Refusal::new("cancellations are not heard");
+            return self.respond(ticket, 503, Some(1), &lags);
+        }
         if report.token > term || self.gone.contains(&report.machine) {
             return self.respond(ticket, 503, Some(1), &Refusal::new("superseded"));
         }
@@ -259,6 +265,10 @@
         // tasks, and this is worked out at every report.
         let wants = || self.wants.iter().filter_map(|w| w.machines.get(machine));
         let is_wanted = |k: &Key| wants().any(|m| m.tasks.iter().any(|t| k.names(t)));
+        let known = &self.known;
+        let cancelled = |k: &str| known.get(k).is_some_and(|k| k.stage == StoredStage::Cancelled);
+        let here = post.tasks.iter().filter(|(_, seen)| !seen.over()).map(|(k, _)| &k.job);
+        let unknown: Vec<String> = here.filter(|j| !known.contains_key(*j)).cloned().collect();
         let unwanted: BTreeSet<Key> = post
             .tasks
             .keys()
@@ -271,7 +281,8 @@
         let size = self.types.get(&post.machine_type).map(|t| [t.cpus, t.gpus, t.memory_gb]);
         let mut wanted: Vec<(&WantedTask, bool)> = Vec::new();
         for m in self.wants.iter().filter_map(|w| w.machines.get(machine)) {
-            wanted.extend(m.tasks.iter().map(|t| (t, machine::may_start(t, m.known, term))));
+            let may = |t: &WantedTask| machine::may_start(t, m.known, term) && !cancelled(&t.job);
+            wanted.extend(m.tasks.iter().map(|t| (t, may(t))));
         }
         let find = |k: &Key| wanted.iter().find(|(w, _)| k.names(w)).copied();
         let Some(post) = self.posts.get_mut(machine) else {
@@ -281,7 +292,9 @@
         for (key, seen) in &post.tasks {
             match find(key).map(|(w, _)| w) {
                 Some(w) => {
-                    if let Some(ms) = w.stop_ms
+                    // Its owner may be out of reach, or not have heard yet.
+                    let stop_ms = if cancelled(&key.job) { Some(0) } else { w.stop_ms };
+                    if let Some(ms) = stop_ms
                         && !seen.over()
                         && (*seen != Seen::Saving || ms == 0)
                         && (way == Way::Answer || post.pushed.insert(key.clone()))
@@ -300,6 +313,12 @@
                         commands.push(machine::stop(key, Micros::ZERO));
                     }
                 }
+                None if cancelled(&key.job)
+                    && !seen.over()
+                    && (way == Way::Answer || post.pushed.insert(key.clone())) =>
+                {
+                    commands.push(machine::stop(key, Micros::ZERO));
+                }
                 None => {}
             }
         }
@@ -370,6 +389,7 @@
                 Way::Direct => {}
             }
         }
+        self.note_unknown(unknown);
         commands
     }
 
@@ -525,7 +545,7 @@
                 changed.push(name.clone());
             } else {
                 // Health depends on time, and starts may wait for their next try.
-                let fresh = post.heard.is_some_and(|at| now.since(at) < silent);
+                let fresh = post.in_time(now, base, silent);
                 let unsent = post.sent.values().any(|s| !s.open()) && now >= post.direct_after;
                 if fresh != post.fresh || unsent {
                     changed.push(name.clone());
@@ -604,10 +624,13 @@
         let silent = self.silent();
         let now = self.now;
         let sick = self.posts.get(machine).is_some_and(|p| self.seems_sick(p));
+        let at = self.seat_of_machine(machine);
+        let taken = self.seats[at].mine.as_ref().map_or(Micros::ZERO, |m| m.taken);
         let Some(post) = self.posts.get_mut(machine) else {
             return MachineView::default();
         };
-        let fresh = post.heard.is_some_and(|at| now.since(at) < silent);
+        let base = post.answered.unwrap_or(taken).max(taken);
+        let fresh = post.in_time(now, base, silent);
         post.fresh = fresh;
         if !sick {
             post.sick_since = None;
--- a/src/controller/machine.rs
+++ b/src/controller/machine.rs
@@ -161,6 +161,7 @@
         if report.session > self.session {
             self.end_session();
             self.session = report.session;
+            self.session_at = now;
             // The worker has begun a new session, so the earlier ones are over.
             self.over_through = self.over_through.max(report.session - 1);
             self.known = false;
@@ -226,7 +227,6 @@
     /// such a machine begins one session after the other, and always looks free.
     pub fn judge_hearing(&mut self, now: Micros, before: u64, lease: Micros) {
         if self.session > before {
-            self.session_at = now;
             let lately = self.answered.is_some_and(|at| now.since(at) < Micros(lease.0 / 2));
             self.deaf |= before > 0 && lately;
         } else if now.since(self.session_at) > Micros(lease.0 * 2) {
@@ -237,9 +237,11 @@
     }
 
     /// Silence for longer than any lease: what ran there is gone. `base` is the
-    /// last moment at which anybody may have answered a report.
+    /// last moment at which anybody may have answered a report. A session that was
+    /// heard of later, in the answer to a direct command, began at most a moment
+    /// before and has its own full lease.
     pub fn tend(&mut self, now: Micros, base: Micros, lease: Micros) -> bool {
-        if now <= base + lease {
+        if now <= base.max(self.session_at) + lease {
             return false;
         }
         if self.session > self.over_through {
@@ -255,6 +257,14 @@
         false
     }
 
+    /// Whether it is heard, and its reports are answered: a machine that only direct
+    /// commands reach loses all it is given when its lease ends. `base` as for
+    /// [`Post::tend`].
+    pub fn in_time(&self, now: Micros, base: Micros, silent: Micros) -> bool {
+        let heard = self.heard.is_some_and(|at| now.since(at) < silent);
+        heard && now.since(base) < silent
+    }
+
     /// Tasks for the view.
     pub fn seen_tasks(&self) -> Vec<SeenTask> {
         let seen = |k: &Key, s: Seen| SeenTask {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -19,6 +19,7 @@
 mod accept;
 mod api;
 mod bundle;
+pub mod cancel;
 mod holder;
 mod owner;
 mod placer;
@@ -199,9 +200,10 @@
     DropBundle { key: String, term: u64 },
     StoreBundle { key: String, term: u64, jobs: Vec<(String, u64)> },
     ReadBundle { key: String, term: u64 },
-    SubmitRead { ticket: Ticket, job: String, otherwise: (u16, Option<u64>, Vec<u8>) },
-    Poll { tickets: Vec<Ticket>, job: String },
-    Check { jobs: questions::Asked },
+    SubmitRead { ticket: Ticket, job: String, sent: Micros, otherwise: (u16, Option<u64>, Vec<u8>) },
+    Poll { tickets: Vec<Ticket>, job: String, sent: Micros },
+    Check { jobs: questions::Asked, sent: Micros },
+    ReadUnknown { job: String },
     CancelRead { ticket: Ticket, job: String, tries: u32 },
     CancelWrite { ticket: Ticket, job: String, seat: usize, tasks: u32, tries: u32 },
     Store { job: String, term: u64, parts: Vec<(usize, u64)>, done: bool, drops: Vec<usize> },
@@ -262,6 +264,8 @@
     number: u64,
     /// A frame of it was lost, and it has not told all since.
     behind: bool,
+    /// Revision of the state service up to which it has heard of jobs.
+    watched: u64,
 }
 
 /// What is known of a job's stage from the state service.
@@ -394,6 +398,7 @@
     dirty_posts: BTreeSet<String>,
     dirty_progress: BTreeSet<String>,
     note_cancelled: Vec<String>,
+    cancels: cancel::Cancels,
     note_gone: Vec<String>,
     /// When peers of whom something was missed were last told so.
     missed_at: Micros,
@@ -426,6 +431,17 @@
     /// `wall` is the time of day at the zero of the steady clock: deadlines
     /// must outlive the process that accepted them.
     pub fn new(config: &Config, options: Options, seed: u64, wall: Micros) -> Controller {
+        let workers = &config.settings.workers;
+        let (seat_lease, fits) = cancel::fitting_lease(options.seat_lease, workers);
+        if !fits {
+            log::warn!(
+                "lease_s and cancel_s are so close that cancelled tasks may outlast cancel_s \
+                 when the state service is away"
+            );
+        } else if seat_lease < options.seat_lease {
+            log::info!("the state lease is shortened to {} ms", seat_lease.as_millis());
+        }
+        let options = Options { seat_lease, ..options };
         let members = config.members();
         let me = members.iter().position(|m| *m == config.member).unwrap_or(0);
         let count = members.len();
@@ -504,6 +520,7 @@
             dirty_posts: BTreeSet::new(),
             dirty_progress: BTreeSet::new(),
             note_cancelled: Vec::new(),
+            cancels: cancel::Cancels::default(),
             note_gone: Vec::new(),
             missed_at: Micros::ZERO,
             frames: 0,
@@ -565,6 +582,7 @@
                 Op::Store { .. } | Op::Recheck { .. } | Op::RecheckParts { .. } => {
                     self.store_reply(op, r)
                 }
+                Op::ReadUnknown { job } => self.unknown_read(&job, &r),
                 Op::StoreTypes | Op::StoredTypes => self.types_reply(op, r),
                 Op::StoreBundle { key, term, jobs } => self.bundle_stored(&key, term, jobs, r),
                 Op::ReadBundle { key, term } => self.bundle_read(&key, term, r),
@@ -593,6 +611,7 @@
         self.tend_seats();
         self.tend_waiting();
         self.tend_questions();
+        self.tend_unknown();
         self.send_hellos();
         if self.now >= self.tend_at {
             self.tend_at = self.now + Micros::millis(250);
@@ -737,6 +756,7 @@
             info.well_since = None;
         }
         info.cut_off = frame.cut_off;
+        info.watched = frame.watched;
         if info.heard.is_none_or(|at| now.since(at) > PEER_SILENT)
             || !frame.state_ok
             || frame.cut_off
@@ -787,10 +807,7 @@
         }
         for job in frame.cancelled {
             // Answers that were read before the cancellation must not go out now.
-            if let Some(known) = self.known.get(&job).copied() {
-                self.note_known(&job, Known { stage: StoredStage::Cancelled, ..known });
-            }
-            self.job_cancelled(&job);
+            self.hear_cancelled(&job);
         }
         for machine in frame.gone {
             self.machine_gone(&machine);
@@ -850,7 +867,10 @@
         }
         if beat {
             self.beat_at = self.now + Micros::millis(800);
+            let again = self.retell_cancelled();
+            frame.cancelled.extend(again);
         }
+        frame.watched = self.follow.get(&Watch::Jobs).map_or(0, |f| f.revision());
         self.frames += 1;
         frame.number = self.frames;
         frame.member.clone_from(&self.member);
@@ -960,10 +980,14 @@
             // A stage that is final stays: an answer read earlier may come later.
             Some(old) if old.stage != StoredStage::Accepted => {
                 self.known.insert(job.to_string(), old);
+                return;
             }
             Some(_) => {}
             None => self.known_order.push_back(job.to_string()),
         }
+        if known.stage == StoredStage::Cancelled {
+            self.stop_on_machines(job);
+        }
         while self.known_order.len() > KNOWN_JOBS {
             if let Some(old) = self.known_order.pop_front() {
                 self.known.remove(&old);
--- a/src/controller/questions.rs
+++ b/src/controller/questions.rs
@@ -24,6 +24,9 @@
 const CONDITION_BYTES: usize = 40;
 /// Questions that may wait; more are told to come back.
 const MOST_WAITING: usize = 2_000;
+/// A stage that is not final, or that a job is not there, is told only if the call
+/// that shows it was sent no longer ago.
+const FRESH: Micros = Micros::millis(1_000);
 /// A question that has waited for longer is answered while its user listens.
 const LISTENS: Micros = Micros::millis(1_600);
 
@@ -111,7 +114,7 @@
     }
 
     fn read_job(&mut self, tickets: Vec<Ticket>, id: &str) {
-        let op = Op::Poll { tickets, job: id.to_string() };
+        let op = Op::Poll { tickets, job: id.to_string(), sent: self.now };
         self.state(op, StateCall::Get(job::job_key(id)));
     }
 
@@ -140,11 +143,11 @@
             let conditions = jobs.iter().map(condition).collect();
             self.questions.under_way += 1;
             let txn = Txn { conditions, writes: Vec::new() };
-            self.state(Op::Check { jobs }, StateCall::Txn(txn));
+            self.state(Op::Check { jobs, sent: self.now }, StateCall::Txn(txn));
         }
     }
 
-    pub(super) fn checked(&mut self, jobs: Asked, reply: StateReply) {
+    pub(super) fn checked(&mut self, jobs: Asked, sent: Micros, reply: StateReply) {
         self.questions.under_way = self.questions.under_way.saturating_sub(1);
         let failed = match reply {
             StateReply::Applied(_) => Vec::new(),
@@ -158,6 +161,11 @@
             // What is known by now may be newer than the comparison.
             let known = self.known.get(&id).copied();
             match known {
+                Some(k) if k.stage == StoredStage::Accepted && !self.fresh(sent) => {
+                    for (ticket, _) in asked {
+                        self.later(ticket, 503, "the state service is slow");
+                    }
+                }
                 Some(k) if k.stage != StoredStage::Accepted || failed.is_empty() => {
                     let answer = self.job_answer(&id, k);
                     let body = serde_json::to_vec(&answer).unwrap_or_default();
@@ -183,14 +191,34 @@
         }
     }
 
-    pub(super) fn poll_read(&mut self, tickets: Vec<Ticket>, job: &str, reply: &StateReply) {
+    /// Whether what a call sent then has shown may still be told as the present
+    /// state: what took long may have been overtaken by another node's word.
+    pub(super) fn fresh(&self, sent: Micros) -> bool {
+        self.now.since(sent) <= FRESH
+    }
+
+    pub(super) fn poll_read(
+        &mut self,
+        tickets: Vec<Ticket>,
+        job: &str,
+        sent: Micros,
+        reply: &StateReply,
+    ) {
+        let slow = "the state service is slow";
         match self.read_record(job, reply) {
+            Some(Some((known, _))) if known.stage == StoredStage::Accepted && !self.fresh(sent) => {
+                tickets.into_iter().for_each(|t| self.later(t, 503, slow));
+            }
             Some(Some((known, _))) => {
                 for ticket in tickets {
                     let answer = self.job_answer(job, known);
                     self.respond(ticket, 200, None, &answer);
                 }
             }
+            // Accepted since the read.
+            Some(None) if self.known.contains_key(job) || !self.fresh(sent) => {
+                tickets.into_iter().for_each(|t| self.later(t, 503, slow));
+            }
             Some(None) => {
                 for ticket in tickets {
                     self.respond(ticket, 404, None, &Refusal::new("no such job"));
--- a/src/controller/seat.rs
+++ b/src/controller/seat.rs
@@ -64,6 +64,8 @@
     pub mine: Option<Mine>,
     /// A take or a release is under way.
     pub busy: bool,
+    /// Highest term under which this process has acted.
+    pub acted: u64,
 }
 
 /// Key of a seat's term.
@@ -134,6 +136,10 @@
         match &self.hold {
             None => Some(0),
             Some((h, mark)) if h.member == member && h.run != run => Some(*mark),
+            // Given up by this very process, whose release may still be carried out
+            // late: only a new mark makes it fail, and only a new term shows which of
+            // its commands are still under way.
+            Some((h, mark)) if h.member == member && h.term <= self.acted => Some(*mark),
             Some(_) => None,
         }
     }
--- a/src/controller/seats.rs
+++ b/src/controller/seats.rs
@@ -29,6 +29,8 @@
     /// Jobs whose record is still to be read.
     todo: BTreeSet<String>,
     asked: BTreeSet<String>,
+    /// Asked for before changes may have been missed: read again.
+    stale: BTreeSet<String>,
     records: BTreeMap<String, (Option<JobRecord>, u64)>,
     /// Descriptions from bundles: key and version of the bundle, and part 0.
     bundled: BTreeMap<String, (String, u64, Value)>,
@@ -40,6 +42,22 @@
     after: Option<u64>,
     busy: bool,
     retry: Micros,
+    /// When the call that is under way was sent.
+    sent: Micros,
+    /// When the last call that was answered had been sent.
+    heard: Micros,
+}
+
+impl Following {
+    /// All that had changed by then is known.
+    pub(super) fn heard(&self) -> Micros {
+        self.heard
+    }
+
+    /// Revision up to which changes are known, 0 for none.
+    pub(super) fn revision(&self) -> u64 {
+        self.after.unwrap_or(0)
+    }
 }
 
 fn prefix(watch: Watch) -> &'static str {
@@ -74,10 +92,12 @@
                 continue;
             }
             f.busy = true;
+            f.sent = now;
+            let block = if watch == Watch::Jobs { Micros(ttl.0 / 4) } else { BLOCK };
             let prefix = prefix(watch).to_string();
             match f.after {
                 Some(after) => {
-                    self.state(Op::Follow(watch), StateCall::Follow { prefix, after, block: BLOCK })
+                    self.state(Op::Follow(watch), StateCall::Follow { prefix, after, block })
                 }
                 // The jobs' own list grows without end; any list tells the
                 // present revision, and the holds are few.
@@ -205,6 +225,7 @@
         let seat = &mut self.seats[s];
         seat.term = seat.term.max(term);
         seat.term_mark = seat.term_mark.max(mark);
+        seat.acted = term;
         seat.mine = Some(Mine { term, mark, taken: self.now, loaded: false, releasing: false });
         let hold = seat::Hold {
             member: self.member.clone(),
@@ -287,6 +308,7 @@
             (Op::FollowStart(watch), StateReply::Page { revision, items, .. }) => {
                 if let Some(f) = self.follow.get_mut(&watch) {
                     f.busy = false;
+                    f.heard = f.sent;
                     f.after = Some(revision);
                 }
                 match watch {
@@ -299,6 +321,13 @@
                     }
                     // Cancellations may have been missed.
                     Watch::Jobs => {
+                        self.doubt_unfinished();
+                        for l in self.loads.values_mut() {
+                            l.todo.extend(std::mem::take(&mut l.records).into_keys());
+                            l.stale.append(&mut l.asked);
+                        }
+                        let busy = self.jobs.iter().filter(|(_, j)| j.busy);
+                        self.note_unknown(busy.map(|(id, _)| id.clone()).collect());
                         let ids: Vec<String> = self.jobs.keys().cloned().collect();
                         for id in ids {
                             self.recheck(&id);
@@ -315,6 +344,10 @@
                 for change in changes {
                     self.change(watch, change);
                 }
+                // Only now is all that it tells taken in.
+                if let Some(f) = self.follow.get_mut(&watch) {
+                    f.heard = f.sent;
+                }
             }
             (Op::Follow(watch), StateReply::TooOld) => {
                 if let Some(f) = self.follow.get_mut(&watch) {
@@ -362,9 +395,10 @@
                 if h.member == self.member
                     && h.run == self.run
                     && !seat.busy
+                    && h.term > seat.acted
                     && Some(h.lease) == self.lease.id =>
             {
-                // A take whose answer was lost, or a release that was refused.
+                // A take whose answer was lost.
                 let (term, mark) = (h.term, *mark);
                 self.seat_taken(s, term, mark);
             }
@@ -447,7 +481,9 @@
     }
 
     fn tend_loads(&mut self) {
-        if !self.acting() {
+        // What changes after a record was read comes by the watch, which must stand.
+        let watched = self.follow.get(&Watch::Jobs).is_some_and(|f| f.after.is_some());
+        if !self.acting() || !watched {
             return;
         }
         let seats: Vec<usize> = self.loads.keys().copied().collect();
@@ -476,7 +512,7 @@
             l.todo.remove(job);
             l.asked.insert(job.clone());
         }
-        let finished = l.todo.is_empty() && l.asked.is_empty();
+        let finished = l.todo.is_empty() && l.asked.is_empty() && l.stale.is_empty();
         for job in asked {
             let key = job::job_key(&job);
             self.state(Op::LoadJob { seat: s, term, job }, StateCall::Get(key));
@@ -532,6 +568,9 @@
         };
         l.asked.remove(job);
         match reply {
+            _ if l.stale.remove(job) => {
+                l.todo.insert(job.to_string());
+            }
             StateReply::Value(item) => {
                 let record =
                     item.as_ref().and_then(|i| serde_json::from_value(i.value.clone()).ok());
@@ -582,8 +621,10 @@
                 warn!("stored tasks of job {id} cannot be read");
                 continue;
             };
-            job.cancelled = record.stage == StoredStage::Cancelled;
-            job.over = record.stage == StoredStage::Done;
+            // What was said since its record was read came by the watch.
+            let stage = self.known.get(&id).map_or(record.stage, |k| k.stage);
+            job.cancelled = stage == StoredStage::Cancelled;
+            job.over = stage == StoredStage::Done;
             if job.over {
                 // What its parts still name has completed; it must not be
                 // wanted, and so started, again.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -538,7 +538,8 @@
     /// Limits that its seats run into.
     #[prost(message, repeated, tag = "10")]
     pub needs: Vec<QuotaNeed>,
-    /// Jobs that the sender has just cancelled.
+    /// Jobs whose cancellation the sender has confirmed, told again until all
+    /// have heard of them.
     #[prost(string, repeated, tag = "11")]
     pub cancelled: Vec<String>,
     /// Machines that the renting seat knows to be gone.
@@ -574,6 +575,9 @@
     /// It tells everything: what was missed before does not matter any more.
     #[prost(bool, tag = "21")]
     pub full: bool,
+    /// Revision of the state service up to which the sender has heard of jobs.
+    #[prost(uint64, tag = "22")]
+    pub watched: u64,
 }
 
 /// Appends a frame with its length in front.
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -1,6 +1,7 @@
 //! Tables of cases for the pure parts.
 
-use millethold::config::{Config, Options, Team};
+use millethold::config::{Config, Options, Team, Workers};
+use millethold::controller::cancel;
 use millethold::controller::estimate::Estimates;
 use millethold::controller::fleet::{self, Fleet, Room};
 use millethold::controller::image::ImageIndex;
@@ -282,6 +283,14 @@
         s.see_hold(Micros::secs(1), stored.as_ref());
         assert_eq!(s.takeable("a", 7), want, "{stored:?}");
     }
+    // What this run gave up stands until the release is carried out, perhaps late: it
+    // is taken anew, on its mark, instead of being acted on under the old term.
+    for (acted, want) in [(3, None), (4, Some(40)), (5, Some(40))] {
+        let mut s = Seat { acted, ..Seat::default() };
+        s.see_hold(Micros::secs(1), Some(&item("a", 7, 4, 40)));
+        assert_eq!(s.takeable("a", 7), want, "acted under term {acted}");
+        assert_eq!(s.takeable("b", 7), None, "nobody else may");
+    }
     let mut s = Seat::default();
     s.see_hold(Micros::secs(1), Some(&item("b", 3, 4, 40)));
     s.see_hold(Micros::secs(9), None);
@@ -313,6 +322,30 @@
     }
 }
 
+/// How long cancellations may be unheard, and the state lease, by the workers' lease
+/// and the time that a cancellation has.
+#[test]
+fn leases_and_cancellations() {
+    // lease_s, cancel_s, wished, whole seconds unheard, lease used, whether it is safe.
+    let table = [
+        (22.0, 52.0, 10_000, 26, 10_000, true),
+        (26.5, 56.5, 10_000, 26, 10_000, true),
+        (45.0, 70.0, 10_000, 21, 10_000, true),
+        (45.0, 70.0, 30_000, 21, 21_954, true),
+        (45.0, 54.0, 10_000, 5, 5_954, true),
+        // Nothing short enough: the shortest that works, and a warning.
+        (45.0, 50.0, 10_000, 1, 2_000, false),
+        (45.0, 40.0, 10_000, 0, 2_000, false),
+        (22.0, 52.0, 1_500, 26, 1_500, true),
+    ];
+    for (lease_s, cancel_s, wished, unheard_s, used, safe) in table {
+        let workers = Workers { report_s: 3.0, lease_s, cancel_s };
+        assert_eq!(cancel::unheard_for(&workers).as_millis() / 1_000, unheard_s, "{workers:?}");
+        let (lease, fits) = cancel::fitting_lease(Micros::millis(wished), &workers);
+        assert_eq!((lease.as_millis(), fits), (used, safe), "{workers:?}, {wished} ms wished");
+    }
+}
+
 fn key(attempt: u64) -> Key {
     Key { job: "j-1".into(), index: 0, attempt }
 }
@@ -389,6 +422,19 @@
     assert!(post.tend(now + lease + Micros(1), now, lease));
     assert_eq!((post.over_through, post.known), (2, false));
     assert!(post.take_report(now, &report(2, 2, 4, &[]), 4, true).is_none());
+    // A session that only a direct command's answer told of has a lease of its own,
+    // though no report was answered for long: what it was given still runs.
+    let mut mute = Post::default();
+    mute.take_report(now, &report(1, 1, 4, &[]), 4, true);
+    let heard = now + lease + Micros::secs(3);
+    assert!(mute.take_report(heard, &report(2, 1, 4, &[]), 4, false).is_some());
+    assert!(!mute.tend(heard + lease, now, lease), "its lease may still run");
+    assert!(mute.tend(heard + lease + Micros(1), now, lease));
+    // Nothing new is put where reports are not answered, however well it hears.
+    let silent = Micros::secs(5);
+    for (base, want) in [(heard, true), (now, false)] {
+        assert_eq!(mute.in_time(heard + Micros::secs(1), base, silent), want, "{base:?}");
+    }
     let mut never = Post::default();
     assert!(!never.tend(now + lease, now, lease) && !never.vanished);
     assert!(never.tend(now + lease + Micros(1), now, lease) && never.vanished);
@@ -510,6 +556,18 @@
     assert_eq!(q.grant(0)[0], 5.0);
     q.see(&json!({"0": [12.0, 0.0], "1": [17.0, 0.0]}), 2);
     assert_eq!(q.grant(0)[0], 12.0);
+    // Two changes on one version, the first without an answer: either may be the one
+    // that is carried out. A third that is refused changes nothing of that.
+    q.sends(0, [4.0, 0.0]);
+    q.unsure = true;
+    q.sends(0, [8.0, 0.0]);
+    assert_eq!(q.grant(0)[0], 4.0);
+    q.refused();
+    assert_eq!((q.grant(0)[0], q.busy), (4.0, false));
+    q.see(&json!({"0": [12.0, 0.0], "1": [17.0, 0.0]}), 3);
+    q.sends(0, [8.0, 0.0]);
+    q.refused();
+    assert_eq!(q.grant(0)[0], 12.0, "surely not carried out");
     assert!(quota(0.0, &[]).grant(0)[0].is_infinite(), "0 means no limit");
     let rest = quota::lacking([6.0, 0.0], &[need(3, 9.0), need(1, 4.0)]);
     assert_eq!(rest, [need(3, 7.0)], "the more urgent is served first");
