Refuse submissions that lack a field which may not be null

The protocol lets only fields that may be null be left out: benches, yard and dueS. gpus, together, apart, loaners, notchS and stackS had defaults, so jobs that lack one were accepted.

--- a/src/wire.rs
+++ b/src/wire.rs
@@ -140,7 +140,7 @@
 }
 
 /// Reads and checks a submission field by field, so that the answer can name
-/// the first field at fault.
+/// the first field at fault. Only what may be null may be left out.
 pub fn parse_job(body: &[u8]) -> Result<JobSpec, BadJob> {
     let whole = |reason| BadJob { field: "", reason, id: None };
     let value: Value = serde_json::from_slice(body).map_err(|_| whole("not JSON"))?;
@@ -159,18 +159,17 @@
         Some(_) => Err(bad(field, "must be a text of 1 to 200 bytes")),
         None => Err(bad(field, "missing")),
     };
-    let amount = |field: &'static str, needed: bool| match get(field) {
+    let amount = |field: &'static str| match get(field) {
         Some(v) => match v.as_f64() {
             Some(x) if x.is_finite() && (0.0..=1e9).contains(&x) => Ok(x),
             _ => Err(bad(field, "must be a number from 0 to 1e9")),
         },
-        None if needed => Err(bad(field, "missing")),
-        None => Ok(0.0),
+        None => Err(bad(field, "missing")),
     };
     let flag = |field: &'static str| match get(field) {
         Some(Value::Bool(b)) => Ok(*b),
         Some(_) => Err(bad(field, "must be true or false")),
-        None => Ok(false),
+        None => Err(bad(field, "missing")),
     };
     let class = text("grade")?;
     let team = text("crew")?;
@@ -191,11 +190,11 @@
         },
         None => return Err(bad("planks", "missing")),
     };
-    let cpus = amount("cpus", true)?;
-    let gpus = amount("gpus", false)?;
-    let memory_gb = amount("ramGb", true)?;
+    let cpus = amount("cpus")?;
+    let gpus = amount("gpus")?;
+    let memory_gb = amount("ramGb")?;
     let image = text("pattern")?;
-    let image_gb = amount("pullGb", true)?;
+    let image_gb = amount("pullGb")?;
     let types = match get("benches") {
         None => None,
         Some(Value::Array(a)) if a.len() <= 50 => {
@@ -211,7 +210,7 @@
     };
     let deadline_s = match get("dueS") {
         None => None,
-        Some(_) => Some(amount("dueS", true)?),
+        Some(_) => Some(amount("dueS")?),
     };
     let spec = JobSpec {
         class,
@@ -228,9 +227,9 @@
         one_zone: flag("together")?,
         spread: flag("apart")?,
         spot: flag("loaners")?,
-        estimate_s: amount("expectedS", true)?,
-        checkpoint_s: amount("notchS", false)?,
-        save_s: amount("stackS", false)?,
+        estimate_s: amount("expectedS")?,
+        checkpoint_s: amount("notchS")?,
+        save_s: amount("stackS")?,
         deadline_s,
         id: id.clone(),
     };
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -69,6 +69,12 @@
         ("together", json!("yes"), "together"),
         ("expectedS", Value::Null, "expectedS"),
         ("dueS", json!(-5), "dueS"),
+        ("gpus", Value::Null, "gpus"),
+        ("together", Value::Null, "together"),
+        ("apart", Value::Null, "apart"),
+        ("loaners", Value::Null, "loaners"),
+        ("notchS", Value::Null, "notchS"),
+        ("stackS", Value::Null, "stackS"),
     ];
     for (field, value, named) in table {
         let mut b = body();
@@ -78,6 +84,13 @@
         // The id is kept, so that a known job's repeat can be told from it.
         assert_eq!(bad.id.is_some(), named != "ref", "{field} = {value}");
     }
+    for field in ["benches", "yard", "dueS"] {
+        let mut b = body();
+        b[field] = Value::Null;
+        assert!(wire::parse_job(b.to_string().as_bytes()).is_ok(), "{field} may be null");
+        b.as_object_mut().expect("an object").remove(field);
+        assert!(wire::parse_job(b.to_string().as_bytes()).is_ok(), "{field} may be left out");
+    }
     for text in ["", "{", "[]", "3", "\"x\"", "nul", "\u{0}"] {
         assert_eq!(wire::parse_job(text.as_bytes()).expect_err(text).field, "");
     }
