--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -350,8 +350,10 @@
                     self.note_known(&job, known);
                     self.tell_cancelled(&job, mark);
                     self.job_cancelled(&job);
-                    let answer = self.job_answer(&job, known);
-                    self.respond(ticket, 200, None, &answer);
+                    let body = serde_json::to_vec(&self.job_answer(&job, known));
+                    let body = body.unwrap_or_default();
+                    let answer = Effect::Respond { ticket, status: 200, retry_after: None, body };
+                    self.confirmed.push(answer);
                 }
                 // Changed in between, or perhaps applied: what is stored decides.
                 StateReply::Conflict(_) | StateReply::Unknown => {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -398,6 +398,8 @@
     dirty_posts: BTreeSet<String>,
     dirty_progress: BTreeSet<String>,
     note_cancelled: Vec<String>,
+    /// Answers that go out after this turn's frames.
+    confirmed: Vec<Effect>,
     cancels: cancel::Cancels,
     note_gone: Vec<String>,
     /// When peers of whom something was missed were last told so.
@@ -520,6 +522,7 @@
             dirty_posts: BTreeSet::new(),
             dirty_progress: BTreeSet::new(),
             note_cancelled: Vec::new(),
+            confirmed: Vec::new(),
             cancels: cancel::Cancels::default(),
             note_gone: Vec::new(),
             missed_at: Micros::ZERO,
@@ -666,10 +669,13 @@
             }
             self.store_dirty();
             self.send_frames(frame);
-        } else if self.now >= self.beat_at {
+        } else if self.now >= self.beat_at || !self.note_cancelled.is_empty() {
             self.send_frames(Frame::default());
         }
         out.append(&mut self.out);
+        // A user who hears that a job is cancelled may ask another node at once, or
+        // have asked it a moment ago: the peers are told first.
+        out.append(&mut self.confirmed);
     }
 
     fn call_id(&mut self, op: Op) -> CallId {
