--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -25,6 +25,9 @@
 /// Placements of which nothing has been seen on their machines, at most: so many, or
 /// two for each machine, since whole waves of machines come up at once.
 const MOST_UNSEEN: usize = 1_500;
+/// The same for low tasks, or one for every two machines: an array of thousands of
+/// tiny ones would take the processor from submissions and reports.
+const MOST_UNSEEN_LOW: usize = 750;
 /// Searches in one pass for tasks that make room; each walks the fleet.
 const PASS_SEARCHES: usize = 8;
 
@@ -298,7 +301,11 @@
     /// The more urgent, the more: an array of low tasks that fills its part of the
     /// buffer must not keep urgent ones out.
     fn most_unseen(&self, rank: u32) -> usize {
-        MOST_UNSEEN.max(2 * self.views.len()) * (4 - rank.min(3) as usize)
+        let machines = self.views.len();
+        match rank {
+            0..=2 => MOST_UNSEEN.max(2 * machines) * (4 - rank as usize),
+            _ => MOST_UNSEEN_LOW.max(machines / 2),
+        }
     }
 
     /// Placements wait for writes in a small buffer, about a second's worth: a
