Tell final stages once every peer has heard of them, and look beside a hung watch

Ruled out: memory of stages; both nodes had read the store. Final stages now wait until all peers have followed the jobs up to them, 750 ms at most, and reads older than 600 ms are not told. After an outage a node looks at changes at once where its open watch waits on.

--- a/src/controller/accept.rs
+++ b/src/controller/accept.rs
@@ -259,8 +259,7 @@
         }
         // Others may have said more of it while the answer was on its way here.
         let known = self.known.get(&spec.id).copied().unwrap_or(known);
-        let answer = self.job_answer(&spec.id, known);
-        self.respond(a.ticket, 201, None, &answer);
+        self.tell(a.ticket, 201, &spec.id, known);
     }
 
     /// Answers submissions that have waited for too long, or that nothing can
--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -142,8 +142,7 @@
         };
         if let Some(known) = self.known.get(&spec.id).copied() {
             if known.stage != StoredStage::Accepted {
-                let answer = self.job_answer(&spec.id, known);
-                return self.respond(ticket, 200, None, &answer);
+                return self.tell(ticket, 200, &spec.id, known);
             }
             // Another node may have cancelled it since: only the store knows.
             let otherwise = Refusal::new("undecided");
@@ -229,8 +228,7 @@
         if let Some(known) = self.known.get(id).copied()
             && known.stage != StoredStage::Accepted
         {
-            let answer = self.job_answer(id, known);
-            return self.respond(ticket, 200, None, &answer);
+            return self.tell(ticket, 200, id, known);
         }
         self.cancel_read(ticket, id, CANCEL_TRIES);
     }
@@ -304,8 +302,7 @@
                 // Accepted since the read.
                 Some(None) if self.known.contains_key(&job) => self.later(ticket, 503, "undecided"),
                 Some(Some((known, _))) => {
-                    let answer = self.job_answer(&job, known);
-                    self.respond(ticket, 200, None, &answer);
+                    self.tell(ticket, 200, &job, known);
                 }
                 Some(None) => {
                     let (status, retry_after, body) = otherwise;
@@ -337,8 +334,7 @@
                     self.state(op, StateCall::Txn(txn));
                 }
                 Some(Some((known, _))) => {
-                    let answer = self.job_answer(&job, known);
-                    self.respond(ticket, 200, None, &answer);
+                    self.tell(ticket, 200, &job, known);
                 }
                 Some(None) => self.respond(ticket, 404, None, &Refusal::new("no such job")),
                 None => self.later(ticket, 503, "state service away"),
@@ -350,10 +346,7 @@
                     self.note_known(&job, known);
                     self.tell_cancelled(&job, mark);
                     self.job_cancelled(&job);
-                    let body = serde_json::to_vec(&self.job_answer(&job, known));
-                    let body = body.unwrap_or_default();
-                    let answer = Effect::Respond { ticket, status: 200, retry_after: None, body };
-                    self.confirmed.push(answer);
+                    self.tell(ticket, 200, &job, known);
                 }
                 // Changed in between, or perhaps applied: what is stored decides.
                 StateReply::Conflict(_) | StateReply::Unknown => {
--- a/src/controller/cancel.rs
+++ b/src/controller/cancel.rs
@@ -137,7 +137,7 @@
     pub(super) fn hear_cancelled(&mut self, id: &str) {
         let cancelled = StoredStage::Cancelled;
         let known = match self.known.get(id).copied() {
-            Some(known) => Known { stage: cancelled, ..known },
+            Some(known) => Known { stage: cancelled, mark: 0, ..known },
             // Which seat runs it does not matter any more.
             None => Known { stage: cancelled, seat: usize::MAX, tasks: 0, mark: 0 },
         };
--- /dev/null
+++ b/src/controller/finals.rs
@@ -0,0 +1,82 @@
+//! When a user is told that a job is done or cancelled.
+//!
+//! Users may ask all nodes at the same moment. A node that has read a job's key just
+//! before its last change would answer with an older stage after another node has
+//! told the final one. So a final stage is told once every peer has heard of it, by
+//! the revision up to which it has followed the jobs; or, where a peer does not say
+//! so, once whatever it may have read before is too old for it to be told.
+
+use super::job::StoredStage;
+use super::questions::FRESH;
+use super::{Controller, Known, Ticket};
+use crate::time::Micros;
+use std::collections::BTreeMap;
+
+/// After this no node tells what it has read before the last change: they read anew
+/// what is older than [`FRESH`]. The rest is for clocks and the way to the user.
+const SETTLED: Micros = Micros(FRESH.0 + 150_000);
+/// Stands for a revision that is not known yet.
+const UNKNOWN: u64 = u64::MAX;
+
+/// Final stages that were learnt a moment ago.
+#[derive(Debug, Default)]
+pub(super) struct Finals {
+    /// When each was learnt here, and the revision that made it so.
+    unsettled: BTreeMap<String, (Micros, u64)>,
+    /// Who is to be told of them.
+    waiting: Vec<(Ticket, String)>,
+    /// Peers are to hear that this process has followed the jobs further.
+    pub acknowledge: bool,
+}
+
+impl Finals {
+    /// A job was found to be over.
+    pub fn add(&mut self, now: Micros, job: &str, mark: u64) {
+        self.acknowledge = true;
+        let mark = if mark == 0 { UNKNOWN } else { mark };
+        self.unsettled.insert(job.to_string(), (now, mark));
+    }
+
+    /// The revision of a final stage that a peer had told without it.
+    pub fn correct(&mut self, job: &str, mark: u64) {
+        if let Some((_, known)) = self.unsettled.get_mut(job)
+            && *known == UNKNOWN
+            && mark > 0
+        {
+            *known = mark;
+            self.acknowledge = true;
+        }
+    }
+}
+
+impl Controller {
+    /// Tells a user how a job stands: at once, unless the stage is final and a peer
+    /// might still tell an older one.
+    pub(super) fn tell(&mut self, ticket: Ticket, status: u16, id: &str, known: Known) {
+        if known.stage != StoredStage::Accepted && self.finals.unsettled.contains_key(id) {
+            self.finals.waiting.push((ticket, id.to_string()));
+            return;
+        }
+        let answer = self.job_answer(id, known);
+        self.respond(ticket, status, None, &answer);
+    }
+
+    /// Answers those who wait for final stages that every peer has heard of by now.
+    pub(super) fn tell_settled(&mut self) {
+        if self.finals.unsettled.is_empty() {
+            return;
+        }
+        let now = self.now;
+        let heard = self.peers.values().map(|p| p.watched).min().unwrap_or(UNKNOWN);
+        let settled = |at: Micros, mark: u64| mark <= heard || now.since(at) >= SETTLED;
+        self.finals.unsettled.retain(|_, (at, mark)| !settled(*at, *mark));
+        let unsettled = &self.finals.unsettled;
+        let ready = self.finals.waiting.extract_if(.., |(_, id)| !unsettled.contains_key(id));
+        for (ticket, id) in ready.collect::<Vec<_>>() {
+            match self.known.get(&id).copied() {
+                Some(known) => self.tell(ticket, 200, &id, known),
+                None => self.later(ticket, 503, "undecided"),
+            }
+        }
+    }
+}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -20,6 +20,7 @@
 mod api;
 mod bundle;
 pub mod cancel;
+mod finals;
 mod holder;
 mod owner;
 mod placer;
@@ -192,6 +193,7 @@
     ListTerms,
     Follow(Watch),
     FollowStart(Watch),
+    Look { sent: Micros },
     Take { seat: usize, term: u64, epoch: u64 },
     Release { seat: usize },
     Load { seat: usize, term: u64 },
@@ -398,8 +400,8 @@
     dirty_posts: BTreeSet<String>,
     dirty_progress: BTreeSet<String>,
     note_cancelled: Vec<String>,
-    /// Answers that go out after this turn's frames.
-    confirmed: Vec<Effect>,
+    /// Final stages that peers may not have heard of yet, and who is to be told.
+    finals: finals::Finals,
     cancels: cancel::Cancels,
     note_gone: Vec<String>,
     /// When peers of whom something was missed were last told so.
@@ -522,7 +524,7 @@
             dirty_posts: BTreeSet::new(),
             dirty_progress: BTreeSet::new(),
             note_cancelled: Vec::new(),
-            confirmed: Vec::new(),
+            finals: finals::Finals::default(),
             cancels: cancel::Cancels::default(),
             note_gone: Vec::new(),
             missed_at: Micros::ZERO,
@@ -672,10 +674,8 @@
         } else if self.now >= self.beat_at || !self.note_cancelled.is_empty() {
             self.send_frames(Frame::default());
         }
+        self.tell_settled();
         out.append(&mut self.out);
-        // A user who hears that a job is cancelled may ask another node at once, or
-        // have asked it a moment ago: the peers are told first.
-        out.append(&mut self.confirmed);
     }
 
     fn call_id(&mut self, op: Op) -> CallId {
@@ -858,7 +858,7 @@
             }
         }
         let beat = self.now >= self.beat_at;
-        let idle = frame == Frame::default();
+        let idle = frame == Frame::default() && !std::mem::take(&mut self.finals.acknowledge);
         if beat || self.now >= self.demand_at {
             self.demand_at = self.now + Micros::millis(400);
             if acting {
@@ -986,11 +986,15 @@
             // A stage that is final stays: an answer read earlier may come later.
             Some(old) if old.stage != StoredStage::Accepted => {
                 self.known.insert(job.to_string(), old);
+                self.finals.correct(job, known.mark);
                 return;
             }
             Some(_) => {}
             None => self.known_order.push_back(job.to_string()),
         }
+        if known.stage != StoredStage::Accepted {
+            self.finals.add(self.now, job, known.mark);
+        }
         if known.stage == StoredStage::Cancelled {
             self.stop_on_machines(job);
         }
--- a/src/controller/questions.rs
+++ b/src/controller/questions.rs
@@ -26,7 +26,7 @@
 const MOST_WAITING: usize = 2_000;
 /// A stage that is not final, or that a job is not there, is told only if the call
 /// that shows it was sent no longer ago.
-const FRESH: Micros = Micros::millis(1_000);
+pub(super) const FRESH: Micros = Micros::millis(600);
 /// A question that has waited for longer is answered while its user listens.
 const LISTENS: Micros = Micros::millis(1_600);
 
@@ -96,8 +96,7 @@
         let now = self.now;
         let known = self.known.get(id).copied();
         if let Some(known) = known.filter(|k| k.stage != StoredStage::Accepted) {
-            let answer = self.job_answer(id, known);
-            return self.respond(ticket, 200, None, &answer);
+            return self.tell(ticket, 200, id, known);
         }
         match known.filter(|k| k.mark > 0) {
             Some(known) if !self.questions.plenty(now) => {
@@ -167,16 +166,8 @@
                     }
                 }
                 Some(k) if k.stage != StoredStage::Accepted || failed.is_empty() => {
-                    let answer = self.job_answer(&id, k);
-                    let body = serde_json::to_vec(&answer).unwrap_or_default();
                     for (ticket, _) in asked {
-                        let body = body.clone();
-                        self.out.push(super::Effect::Respond {
-                            ticket,
-                            status: 200,
-                            retry_after: None,
-                            body,
-                        });
+                        self.tell(ticket, 200, &id, k);
                     }
                 }
                 // Whether all that differ are named is not said: the others are
@@ -211,8 +202,7 @@
             }
             Some(Some((known, _))) => {
                 for ticket in tickets {
-                    let answer = self.job_answer(job, known);
-                    self.respond(ticket, 200, None, &answer);
+                    self.tell(ticket, 200, job, known);
                 }
             }
             // Accepted since the read.
--- a/src/controller/seats.rs
+++ b/src/controller/seats.rs
@@ -14,6 +14,8 @@
 
 /// How long a watch waits for changes.
 const BLOCK: Micros = Micros::secs(20);
+/// Between looks at changes beside a watch that has said nothing for long.
+const LOOK_EVERY: Micros = Micros::millis(400);
 /// Reads of job records under way at once while a seat is loaded.
 const LOADS: usize = 12;
 
@@ -46,9 +48,18 @@
     sent: Micros,
     /// When the last call that was answered had been sent.
     heard: Micros,
+    /// When changes were last looked at beside the watch.
+    look_at: Micros,
 }
 
 impl Following {
+    /// Changes up to a revision, asked for at a time, are taken in. A watch and a
+    /// look may cross.
+    fn took(&mut self, revision: u64, sent: Micros) {
+        self.after = Some(self.after.unwrap_or(0).max(revision));
+        self.heard = self.heard.max(sent);
+    }
+
     /// All that had changed by then is known.
     pub(super) fn heard(&self) -> Micros {
         self.heard
@@ -107,6 +118,7 @@
                 ),
             }
         }
+        self.look_beside_watch();
         if self.seats_read && self.lease.valid(now + Micros::millis(500)) {
             for s in 0..self.seats.len() {
                 self.tend_seat(s);
@@ -115,6 +127,25 @@
         self.tend_loads();
     }
 
+    /// After an outage the lease is good at once, while the watch that was open waits
+    /// on: reports are answered only once it is known what was cancelled meanwhile.
+    fn look_beside_watch(&mut self) {
+        let now = self.now;
+        if !self.acting() || self.hears_cancellations() {
+            return;
+        }
+        let Some(f) = self.follow.get_mut(&Watch::Jobs).filter(|f| now >= f.look_at) else {
+            return;
+        };
+        let Some(after) = f.after else {
+            return;
+        };
+        f.look_at = now + LOOK_EVERY;
+        let prefix = prefix(Watch::Jobs).to_string();
+        let call = StateCall::Follow { prefix, after, block: Micros::ZERO };
+        self.state(Op::Look { sent: now }, call);
+    }
+
     fn tend_seat(&mut self, s: usize) {
         let seat = &self.seats[s];
         if seat.busy {
@@ -308,8 +339,7 @@
             (Op::FollowStart(watch), StateReply::Page { revision, items, .. }) => {
                 if let Some(f) = self.follow.get_mut(&watch) {
                     f.busy = false;
-                    f.heard = f.sent;
-                    f.after = Some(revision);
+                    f.took(revision, f.sent);
                 }
                 match watch {
                     Watch::Holds => {
@@ -337,18 +367,24 @@
                 }
             }
             (Op::Follow(watch), StateReply::Changes(revision, changes)) => {
+                for change in changes {
+                    self.change(watch, change);
+                }
                 if let Some(f) = self.follow.get_mut(&watch) {
                     f.busy = false;
-                    f.after = Some(revision);
+                    f.took(revision, f.sent);
                 }
+            }
+            (Op::Look { sent }, StateReply::Changes(revision, changes)) => {
                 for change in changes {
-                    self.change(watch, change);
+                    self.change(Watch::Jobs, change);
                 }
-                // Only now is all that it tells taken in.
-                if let Some(f) = self.follow.get_mut(&watch) {
-                    f.heard = f.sent;
+                if let Some(f) = self.follow.get_mut(&Watch::Jobs) {
+                    f.took(revision, sent);
                 }
             }
+            // The watch itself will say so.
+            (Op::Look { .. }, _) => {}
             (Op::Follow(watch), StateReply::TooOld) => {
                 if let Some(f) = self.follow.get_mut(&watch) {
                     (f.busy, f.after) = (false, None);
