--- a/src/controller/holder.rs
+++ b/src/controller/holder.rs
@@ -175,7 +175,12 @@
             return;
         }
         let heard = &mut self.wants[s];
-        if (message.term, message.seq) <= (heard.term, heard.seq) {
+        // After a gap the whole is told again, under its old number if nothing of it has
+        // changed: dropped as old, all later changes of it would be, too.
+        let again = message.complete
+            && heard.complete == 0
+            && (message.term, message.seq) == (heard.term, heard.seq);
+        if !again && (message.term, message.seq) <= (heard.term, heard.seq) {
             return;
         }
         if message.term > heard.term {
