Pipelines: jobs wait for those that they need, and are cancelled with them

A submission's upstream jobs stand in its record, which every node follows. The seat's holder lets a job go once all of them are stored as done, and writes it as cancelled once one before it is; users are told so at once by any node, after a comparison of all unfinished ones before it in one request. The most pressing rank and deadline of what needs a job reach its holder by frames. The smaller of the state service's limits of now and later are kept from the start; parts of smaller values count the description only where it stands.

--- a/src/config.rs
+++ b/src/config.rs
@@ -97,6 +97,38 @@
     pub value_kb: f64,
     /// Changes in a transaction.
     pub txn_ops: usize,
+    /// What it will take from some moment on, without notice; what is absent stays.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// Limits that the state service will have later.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct NextLimits {
+    /// Requests per second of all nodes.
+    pub rps: Option<f64>,
+    /// Changes per second of all nodes.
+    pub write_rps: Option<f64>,
+    /// Largest value.
+    pub value_kb: Option<f64>,
+    /// Changes in a transaction.
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// The limits to keep: the smaller of those of now and of later, since the change
+    /// comes unannounced, and what is larger is refused from then on.
+    fn kept(&self) -> StateLimits {
+        let next = self.next.clone().unwrap_or_default();
+        let least = |now: f64, next: Option<f64>| next.map_or(now, |n| n.min(now));
+        StateLimits {
+            rps: least(self.rps, next.rps),
+            write_rps: least(self.write_rps, next.write_rps),
+            value_kb: least(self.value_kb, next.value_kb),
+            txn_ops: next.txn_ops.map_or(self.txn_ops, |n| n.min(self.txn_ops)),
+            next: self.next.clone(),
+        }
+    }
 }
 
 /// Limits of the cloud.
@@ -171,11 +203,12 @@
 
     /// Reads and checks the platform's settings.
     pub fn parse(text: &str) -> Result<Config, ConfigError> {
-        let config: Config = toml::from_str(text).map_err(|e| {
+        let mut config: Config = toml::from_str(text).map_err(|e| {
             let at = e.span().map_or(0, |s| text[..s.start.min(text.len())].lines().count());
             ConfigError(format!("line {at}: {}", e.message().replace('\n', " ")))
         })?;
         config.check()?;
+        config.settings.state = config.settings.state.kept();
         Ok(config)
     }
 
@@ -205,6 +238,21 @@
                 return fail(key, "must be a positive number");
             }
         }
+        if let Some(next) = &s.state.next {
+            let later = [
+                ("settings.state.next.rps", next.rps),
+                ("settings.state.next.write_rps", next.write_rps),
+                ("settings.state.next.value_kb", next.value_kb),
+            ];
+            for (key, value) in later {
+                if value.is_some_and(|v| !(v.is_finite() && v > 0.0)) {
+                    return fail(key, "must be a positive number");
+                }
+            }
+            if next.txn_ops.is_some_and(|n| n < 2) {
+                return fail("settings.state.next.txn_ops", "must be at least 2");
+            }
+        }
         if !(s.cloud.list_lag_s.is_finite() && s.cloud.list_lag_s >= 0.0) {
             return fail("settings.cloud.list_lag_s", "must not be negative");
         }
--- a/src/controller/accept.rs
+++ b/src/controller/accept.rs
@@ -5,6 +5,7 @@
 //! all their descriptions. What is written of them later: see [`super::bundle`].
 
 use super::job::{self, Job, JobRecord, StoredStage};
+use super::pipeline::Fate;
 use super::{Controller, Known, Op, Ticket, seat};
 use crate::state::{StateCall, StateReply};
 use crate::time::Micros;
@@ -157,7 +158,12 @@
         };
         let mut values: Vec<Value> = Vec::new();
         for a in &list {
-            let record = JobRecord { seat: s, stage: StoredStage::Accepted, tasks: a.spec.tasks };
+            let record = JobRecord {
+                seat: s,
+                stage: StoredStage::Accepted,
+                tasks: a.spec.tasks,
+                upstream: a.spec.upstream.clone(),
+            };
             let key = job::job_key(&a.spec.id);
             txn.conditions.push(Condition { key: key.clone(), version: 0 });
             txn.writes.push(Write::Put { key, value: json!(record), lease: None });
@@ -243,6 +249,10 @@
         let took = self.now.since(a.came).as_millis();
         log::debug!("job {} was written {took} ms after it had come", spec.id);
         self.counts.accepted += 1;
+        let upstream = spec.upstream.clone();
+        let record =
+            JobRecord { seat: s, stage: StoredStage::Accepted, tasks: spec.tasks, upstream };
+        self.pipelines.note(&spec.id, &record);
         let known = Known { stage: StoredStage::Accepted, seat: s, tasks: spec.tasks, mark };
         self.note_known(&spec.id, known);
         let cancelled = self.known.get(&spec.id).is_some_and(|k| k.stage == StoredStage::Cancelled);
@@ -253,12 +263,20 @@
             (part.version, part.stored) = (1, 1);
             part.mark = if bundled { 0 } else { mark };
             job.cancelled = cancelled;
+            if job.waiting {
+                self.pipelines.wait(&spec.id);
+            }
             self.dirty_jobs.insert(spec.id.clone());
             self.jobs.insert(spec.id.clone(), job);
             self.place_wanted = true;
         }
         // Others may have said more of it while the answer was on its way here.
         let known = self.known.get(&spec.id).copied().unwrap_or(known);
+        if known.stage == StoredStage::Accepted && self.fate_of(&spec.id) == Fate::Waits {
+            // Nobody can have been told more of it: it was accepted just now.
+            let answer = self.job_answer(&spec.id, known);
+            return self.respond(a.ticket, 201, None, &answer);
+        }
         self.tell(a.ticket, 201, &spec.id, known);
     }
 
--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -2,6 +2,7 @@
 
 use super::accept::ACCEPT_PUTS;
 use super::job::{self, JobRecord, StoredStage};
+use super::pipeline::Fate;
 use super::{Controller, Effect, Known, Op, Ticket, seat};
 use crate::state::{StateCall, StateReply};
 use crate::wire::{self, Condition, JobAnswer, JobSpec, JobStage, Refusal, Txn, Write, path};
@@ -178,6 +179,9 @@
             let answer = Refusal { error: "description too long", field: Some("") };
             return self.read_or(ticket, &spec.id, 400, None, &answer);
         }
+        if !spec.upstream.is_empty() {
+            return self.gather(ticket, Rc::new(spec), size);
+        }
         self.submissions += 1;
         self.arrive(ticket, Rc::new(spec), size);
     }
@@ -270,6 +274,7 @@
                 let r: JobRecord = serde_json::from_value(item.value.clone()).ok()?;
                 let mark = item.version;
                 let known = Known { stage: r.stage, seat: r.seat, tasks: r.tasks, mark };
+                self.pipelines.note(job, &r);
                 self.note_known(job, known);
                 // This answer may have been overtaken by a later one.
                 let known = self.known.get(job).copied().unwrap_or(known);
@@ -313,11 +318,16 @@
             Op::Poll { tickets, job, sent } => self.poll_read(tickets, &job, sent, &reply),
             Op::Check { jobs, sent } => self.checked(jobs, sent, reply),
             Op::CancelRead { ticket, job, tries } => match self.read_record(&job, &reply) {
+                // It is cancelled already with one that it needs.
+                Some(Some((known, _))) if matches!(self.fate_of(&job), Fate::Cancelled { .. }) => {
+                    self.tell(ticket, 200, &job, known);
+                }
                 Some(Some((known, mark))) if known.stage == StoredStage::Accepted => {
                     let record = JobRecord {
                         seat: known.seat,
                         stage: StoredStage::Cancelled,
                         tasks: known.tasks,
+                        upstream: Vec::new(),
                     };
                     let key = job::job_key(&job);
                     let txn = Txn {
--- a/src/controller/bundle.rs
+++ b/src/controller/bundle.rs
@@ -60,7 +60,9 @@
         }
         let value = job::encode_bundle(values);
         let most = self.settings.state.value_kb * 1024.0;
-        if changed.is_empty() || value.to_string().len() as f64 > most {
+        // It may be of a time with larger limits.
+        let conditions_fit = conditions.len() <= 4 * self.settings.state.txn_ops;
+        if changed.is_empty() || !conditions_fit || value.to_string().len() as f64 > most {
             return false;
         }
         for (id, _) in &changed {
--- a/src/controller/finals.rs
+++ b/src/controller/finals.rs
@@ -7,6 +7,7 @@
 //! so, once whatever it may have read before is too old for it to be told.
 
 use super::job::StoredStage;
+use super::pipeline::Fate;
 use super::questions::FRESH;
 use super::{Controller, Known, Ticket};
 use crate::time::Micros;
@@ -37,6 +38,11 @@
         self.unsettled.insert(job.to_string(), (now, mark));
     }
 
+    /// Whether every peer has heard that a job is over, or has had the time to.
+    pub fn settled(&self, job: &str) -> bool {
+        !self.unsettled.contains_key(job)
+    }
+
     /// The revision of a final stage that a peer had told without it.
     pub fn correct(&mut self, job: &str, mark: u64) {
         if let Some((_, known)) = self.unsettled.get_mut(job)
@@ -53,10 +59,29 @@
     /// Tells a user how a job stands: at once, unless the stage is final and a peer
     /// might still tell an older one.
     pub(super) fn tell(&mut self, ticket: Ticket, status: u16, id: &str, known: Known) {
-        if known.stage != StoredStage::Accepted && self.finals.unsettled.contains_key(id) {
+        if known.stage != StoredStage::Accepted && !self.finals.settled(id) {
             self.finals.waiting.push((ticket, id.to_string()));
             return;
         }
+        if known.stage == StoredStage::Accepted {
+            match self.fate_of(id) {
+                Fate::Free => {}
+                Fate::Waits => return self.tell_waiting(ticket, status, id, known),
+                Fate::Unknown(list) => {
+                    self.note_unknown(list);
+                    return self.later(ticket, 503, "the jobs that it needs are being read");
+                }
+                Fate::Cancelled { settled: false } => {
+                    self.finals.waiting.push((ticket, id.to_string()));
+                    return;
+                }
+                Fate::Cancelled { settled: true } => {
+                    let known = Known { stage: StoredStage::Cancelled, ..known };
+                    let answer = self.job_answer(id, known);
+                    return self.respond(ticket, status, None, &answer);
+                }
+            }
+        }
         let answer = self.job_answer(id, known);
         self.respond(ticket, status, None, &answer);
     }
--- a/src/controller/job.rs
+++ b/src/controller/job.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 
 /// Value of `j/REF`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobRecord {
     /// Seat that accepted it.
     #[serde(rename = "s")]
@@ -25,6 +25,9 @@
     /// Number of tasks, which a done job still tells.
     #[serde(rename = "n", default)]
     pub tasks: u32,
+    /// Jobs that have to be done first; of no use any more once it is over.
+    #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
+    pub upstream: Vec<String>,
 }
 
 /// Stage of a job in the state service.
@@ -100,16 +103,28 @@
 const MOST_AVOIDED: usize = 6;
 /// Most tasks in a part.
 const MAX_PART: u32 = 512;
+/// In values below this a description takes much of the room, and is counted only in
+/// the part that has it.
+const SMALL_VALUE: usize = 4 * 1024;
+/// Most tasks in a part of small values.
+const MAX_PART_SMALL: u32 = 48;
 
 /// Bytes that a part's placements may take.
 fn placements_room(value_kb: f64) -> usize {
     let bytes = (value_kb * 1024.0) as usize;
+    if bytes < SMALL_VALUE {
+        return bytes.saturating_sub(PART_OVERHEAD + MAX_PART_SMALL as usize / 4);
+    }
     // A quarter of a byte in hexadecimal digits for each task says which are done.
     bytes.saturating_sub(PART_OVERHEAD + MAX_SPEC_BYTES + MAX_PART as usize / 4)
 }
 
 /// Tasks in a part: as many as can be on machines at once.
 fn part_size(value_kb: f64) -> u32 {
+    if value_kb * 1024.0 < SMALL_VALUE as f64 {
+        let fit = (placements_room(value_kb) / PLACEMENT_BYTES) as u32;
+        return fit.clamp(1, MAX_PART_SMALL);
+    }
     ((placements_room(value_kb) / PLACEMENT_BYTES) as u32).clamp(1, MAX_PART)
 }
 
@@ -293,12 +308,18 @@
     pub tasks: u32,
     /// Bytes that a part's placements may take in its value.
     pub bytes: usize,
+    /// The description takes of these in part 0; else there is room for it in all.
+    pub described: bool,
 }
 
 impl PartSize {
     /// The division for values of a size.
     pub fn new(value_kb: f64) -> PartSize {
-        PartSize { tasks: part_size(value_kb), bytes: placements_room(value_kb) }
+        PartSize {
+            tasks: part_size(value_kb),
+            bytes: placements_room(value_kb),
+            described: value_kb * 1024.0 < SMALL_VALUE as f64,
+        }
     }
 }
 
@@ -319,6 +340,17 @@
     pub part_size: u32,
     /// Bytes that a part's placements may take.
     room: usize,
+    /// The same for part 0, which has the description.
+    first_room: usize,
+    /// Jobs that have to be done first.
+    pub upstream: Rc<[String]>,
+    /// It waits for jobs that have to be done first.
+    pub waiting: bool,
+    /// Time of day from which it could be placed: of the acceptance, or of the end of
+    /// the last job that it needs.
+    pub ready: Micros,
+    /// Rank and deadline of the most pressing job that needs it.
+    pub pressing: Option<(u32, Micros)>,
     /// Since when it has had changes that nothing urgent waits for.
     pub lazy_since: Option<Micros>,
     /// Its user cancelled it.
@@ -353,7 +385,12 @@
 impl Job {
     /// A job with nothing placed.
     pub fn new(spec: Rc<JobSpec>, seat: usize, mark: u64, accepted: Micros, size: PartSize) -> Job {
-        let PartSize { tasks: part_size, bytes: room } = size;
+        let PartSize { tasks: part_size, bytes: room, described } = size;
+        let first_room = match described {
+            true => room.saturating_sub(serde_json::to_vec(&*spec).map_or(0, |v| v.len())),
+            false => room,
+        };
+        let upstream: Rc<[String]> = spec.upstream.as_slice().into();
         let tasks = spec.tasks;
         let count = tasks.div_ceil(part_size);
         let parts = (0..count)
@@ -370,6 +407,11 @@
             parts,
             part_size,
             room,
+            first_room,
+            waiting: !upstream.is_empty(),
+            upstream,
+            ready: accepted,
+            pressing: None,
             lazy_since: None,
             cancelled: false,
             over: false,
@@ -531,7 +573,7 @@
     /// Tasks that may be placed: of a job that seems to be at fault one at a time,
     /// since all of them would fail again and use up starts, writes and the limit.
     pub fn open(&self) -> u32 {
-        let pending = self.pending();
+        let pending = if self.waiting { 0 } else { self.pending() };
         if self.suspect() { pending.min(1_u32.saturating_sub(self.booked())) } else { pending }
     }
 
@@ -569,8 +611,12 @@
 
     /// The first task to be placed, in a part whose value has room for it.
     pub fn first_pending(&self) -> Option<u32> {
-        let open = |p: &&Part| p.placed.is_empty() || p.bytes + 2 * PLACEMENT_BYTES <= self.room;
-        self.parts.iter().filter(open).find_map(|p| p.pending.first().copied())
+        let room = |n: usize| if n == 0 { self.first_room } else { self.room };
+        let open = |(n, p): &(usize, &Part)| {
+            p.placed.is_empty() || p.bytes + 2 * PLACEMENT_BYTES <= room(*n)
+        };
+        let mut parts = self.parts.iter().enumerate().filter(open);
+        parts.find_map(|(_, p)| p.pending.first().copied())
     }
 
     /// Parts with placements that are not stored yet.
@@ -640,6 +686,11 @@
 
     /// Rank of service: lower is more urgent.
     pub fn rank(&self) -> u32 {
+        let needed = self.pressing.map_or(u32::MAX, |(rank, _)| rank);
+        needed.min(self.own_rank())
+    }
+
+    fn own_rank(&self) -> u32 {
         match self.spec.priority {
             Priority::Low if self.raised => 2,
             Priority::Production => 0,
@@ -651,7 +702,9 @@
 
     /// Time of day of the deadline.
     pub fn due(&self) -> Micros {
-        self.spec.deadline_s.map_or(Micros::FAR, |d| self.accepted + Micros::from_secs_f64(d))
+        let own = self.spec.deadline_s.map(|d| self.accepted + Micros::from_secs_f64(d));
+        let needed = self.pressing.map_or(Micros::FAR, |(_, due)| due);
+        own.map_or(needed, |own| own.min(needed))
     }
 
     /// Tasks per zone, for `together` and `apart`.
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -23,6 +23,7 @@
 mod finals;
 mod holder;
 mod owner;
+mod pipeline;
 mod placer;
 mod questions;
 mod quotas;
@@ -199,6 +200,9 @@
     Load { seat: usize, term: u64 },
     LoadJob { seat: usize, term: u64, job: String },
     Accept { list: Vec<accept::Arrival>, seat: usize, term: u64, bundle: Option<String> },
+    Gather { number: u64, job: String },
+    Chain { ticket: Ticket, status: u16, job: String, sent: Micros },
+    Cascade { job: String, seat: usize, tasks: u32 },
     DropBundle { key: String, term: u64 },
     StoreBundle { key: String, term: u64, jobs: Vec<(String, u64)> },
     ReadBundle { key: String, term: u64 },
@@ -402,6 +406,7 @@
     dirty_posts: BTreeSet<String>,
     dirty_progress: BTreeSet<String>,
     note_cancelled: Vec<String>,
+    pipelines: pipeline::Pipelines,
     /// Final stages that peers may not have heard of yet, and who is to be told.
     finals: finals::Finals,
     cancels: cancel::Cancels,
@@ -527,6 +532,7 @@
             dirty_posts: BTreeSet::new(),
             dirty_progress: BTreeSet::new(),
             note_cancelled: Vec::new(),
+            pipelines: pipeline::Pipelines::default(),
             finals: finals::Finals::default(),
             cancels: cancel::Cancels::default(),
             note_gone: Vec::new(),
@@ -591,6 +597,11 @@
                     self.store_reply(op, r)
                 }
                 Op::ReadUnknown { job } => self.unknown_read(&job, &r),
+                Op::Gather { number, job } => self.gathered(number, &job, &r),
+                Op::Chain { ticket, status, job, sent } => {
+                    self.chain_reply(ticket, status, &job, sent, &r);
+                }
+                Op::Cascade { job, seat, tasks } => self.cascaded(&job, seat, tasks, &r),
                 Op::StoreTypes | Op::StoredTypes => self.types_reply(op, r),
                 Op::StoreBundle { key, term, jobs } => self.bundle_stored(&key, term, jobs, r),
                 Op::ReadBundle { key, term } => self.bundle_read(&key, term, r),
@@ -625,6 +636,7 @@
         self.tend_waiting();
         self.tend_questions();
         self.tend_unknown();
+        self.tend_pipelines();
         self.send_hellos();
         if self.now >= self.tend_at {
             self.tend_at = self.now + Micros::millis(250);
@@ -826,6 +838,9 @@
         for machine in frame.gone {
             self.machine_gone(&machine);
         }
+        for p in frame.pressing {
+            self.hear_pressing(&p.job, p.rank, Micros(p.due_us));
+        }
         if frame.rents {
             self.set_draining(frame.draining.into_iter().collect());
         }
@@ -858,6 +873,7 @@
         frame.cancelled = std::mem::take(&mut self.note_cancelled);
         frame.gone = std::mem::take(&mut self.note_gone);
         frame.preempt = std::mem::take(&mut self.note_preempt);
+        frame.pressing = std::mem::take(&mut self.pipelines.news);
         if self.now >= self.missed_at {
             let behind = self.peers.iter().filter(|(_, p)| p.behind);
             frame.missed = behind.map(|(n, _)| *n as u32).collect();
@@ -1002,6 +1018,7 @@
         }
         if known.stage != StoredStage::Accepted {
             self.finals.add(self.now, job, known.mark);
+            self.pipelines.over(job);
         }
         if known.stage == StoredStage::Cancelled {
             self.stop_on_machines(job);
@@ -1047,6 +1064,7 @@
             "lease_valid": self.lease.valid(now),
             "seats": seats,
             "jobs": self.jobs.len(),
+            "jobs_that_need_others": self.jobs.values().filter(|j| j.waiting).count(),
             "tasks_waiting": self.jobs.values().map(|j| u64::from(j.pending())).sum::<u64>(),
             "machines": machines,
             "rented": self.fleet.stages(),
@@ -1094,6 +1112,18 @@
                 );
             }
         }
+        for (id, j) in self.jobs.iter().filter(|(_, j)| j.waiting && !j.cancelled && !j.over) {
+            let needs: Vec<&str> = j.upstream.iter().map(String::as_str).collect();
+            let _ = writeln!(
+                page,
+                "{id} {} {} {:?} {} 0 0 needs {}",
+                j.spec.class,
+                j.spec.team,
+                j.spec.priority,
+                j.pending(),
+                needs.join(" ")
+            );
+        }
         page
     }
 
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -428,6 +428,8 @@
             return;
         };
         let most = self.settings.state.txn_ops.min(PARTS_PER_TXN);
+        let smaller = self.settings.state.next.is_some();
+        let limit = (self.settings.state.value_kb * 1024.0) as usize;
         if job.cancelled && !job.over {
             // Its ends need not be stored: nothing of it is ever started again.
             for part in &mut job.parts {
@@ -449,7 +451,12 @@
         let mut rest = false;
         if !job.over && job.complete() {
             done = true;
-            let value = JobRecord { seat: s, stage: StoredStage::Done, tasks: job.spec.tasks };
+            let value = JobRecord {
+                seat: s,
+                stage: StoredStage::Done,
+                tasks: job.spec.tasks,
+                upstream: Vec::new(),
+            };
             txn.conditions.push(Condition { key: record.clone(), version: job.mark });
             txn.writes.push(Write::Put { key: record, value: json!(value), lease: None });
             // Its parts are dropped later, when nothing urgent waits.
@@ -484,9 +491,16 @@
             for n in order.into_iter().take(most) {
                 let part = &job.parts[n];
                 let key = job::part_key(s, id, n);
+                let value = job.encode_part(n);
+                if smaller && value.to_string().len() > limit {
+                    // Of a time with larger values: nothing more is placed in it, and
+                    // it is written once enough of it has ended.
+                    log::debug!("part {n} of job {id} is too large to be written yet");
+                    continue;
+                }
                 parts.push((n, part.version));
                 txn.conditions.push(Condition { key: key.clone(), version: part.mark });
-                txn.writes.push(Write::Put { key, value: job.encode_part(n), lease: None });
+                txn.writes.push(Write::Put { key, value, lease: None });
             }
             if parts.is_empty() {
                 if !rest {
@@ -585,6 +599,7 @@
                 };
                 let mark = item.version;
                 let known = Known { stage: r.stage, seat: r.seat, tasks: r.tasks, mark };
+                self.pipelines.note(&id, &r);
                 self.note_known(&id, known);
                 match r.stage {
                     StoredStage::Cancelled => self.job_cancelled(&id),
--- /dev/null
+++ b/src/controller/pipeline.rs
@@ -0,0 +1,380 @@
+//! Jobs that need others to be done first.
+//!
+//! What a job needs stands in its record, `j/REF`, which every node follows. Its
+//! seat's holder lets it go once each job that it needs is stored as done, which is
+//! final, and cancels it once one before it, directly or through others, is stored
+//! as cancelled. Only jobs without tasks still wait, so this is a change of stage
+//! and nothing has to be stopped. A user is told so by any node, also before it is
+//! written: from the stages of all that come before.
+
+use super::job::{self, Job, JobRecord, StoredStage};
+use super::{Controller, Known, Op, Ticket};
+use crate::peer::Pressing;
+use crate::state::{StateCall, StateReply};
+use crate::time::Micros;
+use crate::wire::{Condition, JobSpec, Refusal, Txn, Write};
+use log::info;
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// Between looks at own waiting jobs where nothing has ended.
+const LOOK_EVERY: Micros = Micros::secs(1);
+/// Cancellations of waiting jobs under way at once.
+const CASCADES: usize = 4;
+/// How often what presses is told again: a lost message costs a delay.
+const PRESS_EVERY: Micros = Micros::secs(4);
+/// Jobs that one submission may name which are not known here.
+const MOST_UNKNOWN: usize = 64;
+/// Conditions that a transaction may have for each change that it might make.
+const CONDITIONS: usize = 4;
+/// Part of a value that the list of needed jobs may take, and what surrounds it.
+const FULL: f64 = 0.9;
+const RECORD_BYTES: usize = 64;
+
+/// What becomes of a job, by all that comes before it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Fate {
+    /// All that it needs is done.
+    Free,
+    /// Something before it is not over.
+    Waits,
+    /// Something before it is cancelled; `settled` once every peer knows that.
+    Cancelled { settled: bool },
+    /// Nothing is known here of these.
+    Unknown(Vec<String>),
+}
+
+/// A submission whose needed jobs are being looked up.
+#[derive(Debug)]
+struct Gathering {
+    ticket: Ticket,
+    spec: Rc<JobSpec>,
+    size: usize,
+    left: usize,
+    missing: bool,
+    failed: bool,
+}
+
+/// What this process knows of pipelines.
+#[derive(Debug, Default)]
+pub(super) struct Pipelines {
+    /// What unfinished jobs need.
+    needs: BTreeMap<String, Rc<[String]>>,
+    /// Own jobs that wait for others.
+    waiting: BTreeSet<String>,
+    cascading: BTreeSet<String>,
+    gathering: BTreeMap<u64, Gathering>,
+    count: u64,
+    look_at: Micros,
+    press_at: Micros,
+    /// What was last told of jobs that own ones need.
+    pressing: BTreeMap<String, (u32, Micros)>,
+    /// What is to be told.
+    pub news: Vec<Pressing>,
+}
+
+impl Pipelines {
+    /// Takes in what a job's record says that it needs.
+    pub fn note(&mut self, id: &str, record: &JobRecord) {
+        if record.stage != StoredStage::Accepted {
+            self.needs.remove(id);
+        } else if !record.upstream.is_empty() && !self.needs.contains_key(id) {
+            self.needs.insert(id.to_string(), record.upstream.as_slice().into());
+        }
+    }
+
+    /// A job is over.
+    pub fn over(&mut self, id: &str) {
+        self.needs.remove(id);
+        // What needs it may go on, or is cancelled.
+        self.look_at = Micros::ZERO;
+    }
+
+    /// An own job waits for others.
+    pub fn wait(&mut self, id: &str) {
+        self.waiting.insert(id.to_string());
+        self.look_at = Micros::ZERO;
+    }
+}
+
+/// Bytes that the record of a job with so many needed ones takes, at most.
+fn record_bytes(upstream: &[String]) -> usize {
+    upstream.iter().map(|id| id.len() + 3).sum::<usize>() + RECORD_BYTES
+}
+
+impl Controller {
+    /// Works out what becomes of a job that needs others.
+    pub(super) fn fate(&self, needs: &[String]) -> Fate {
+        let stage = |id: &String| self.known.get(id).map(|k| k.stage);
+        if needs.iter().all(|id| stage(id) == Some(StoredStage::Done)) {
+            return Fate::Free;
+        }
+        let mut todo: Vec<&String> = needs.iter().collect();
+        let mut seen: BTreeSet<&String> = todo.iter().copied().collect();
+        let (mut unknown, mut cancelled) = (Vec::new(), false);
+        while let Some(id) = todo.pop() {
+            match stage(id) {
+                None => unknown.push(id.clone()),
+                Some(StoredStage::Done) => {}
+                Some(StoredStage::Cancelled) if self.finals.settled(id) => {
+                    return Fate::Cancelled { settled: true };
+                }
+                Some(StoredStage::Cancelled) => cancelled = true,
+                Some(StoredStage::Accepted) => {
+                    let before = self.pipelines.needs.get(id).into_iter().flat_map(|n| n.iter());
+                    todo.extend(before.filter(|id| seen.insert(id)));
+                }
+            }
+        }
+        match (cancelled, unknown.is_empty()) {
+            (true, _) => Fate::Cancelled { settled: false },
+            (false, true) => Fate::Waits,
+            (false, false) => Fate::Unknown(unknown),
+        }
+    }
+
+    /// What becomes of a job that is known as accepted.
+    pub(super) fn fate_of(&self, id: &str) -> Fate {
+        self.pipelines.needs.get(id).map_or(Fate::Free, |needs| self.fate(needs))
+    }
+
+    /// Unfinished jobs before one, with the versions of their keys.
+    fn unfinished_before(&self, id: &str) -> Vec<(String, u64)> {
+        let mut list: Vec<(String, u64)> = Vec::new();
+        let mut seen: BTreeSet<&str> = BTreeSet::new();
+        let mut todo: Vec<&str> = vec![id];
+        while let Some(id) = todo.pop() {
+            let needs = self.pipelines.needs.get(id).into_iter().flat_map(|n| n.iter());
+            for n in needs.filter(|n| seen.insert(n)) {
+                if let Some(k) = self.known.get(n).filter(|k| k.stage == StoredStage::Accepted) {
+                    list.push((n.clone(), k.mark));
+                    todo.push(n);
+                }
+            }
+        }
+        list
+    }
+
+    /// Tells a user how a job stands that waits for others: only if, at this moment,
+    /// none of them is cancelled by the store either. Its own stage would say nothing
+    /// of that until its seat's holder has written it.
+    pub(super) fn tell_waiting(&mut self, ticket: Ticket, status: u16, id: &str, known: Known) {
+        if !self.hears_cancellations() {
+            return self.later(ticket, 503, "cancellations are not heard");
+        }
+        let most = (self.settings.state.txn_ops * CONDITIONS).max(2) - 1;
+        let mut marks = self.unfinished_before(id);
+        marks.truncate(most);
+        marks.push((id.to_string(), known.mark));
+        let conditions = marks.iter().filter(|(_, mark)| *mark > 0);
+        let conditions =
+            conditions.map(|(id, mark)| Condition { key: job::job_key(id), version: *mark });
+        let txn = Txn { conditions: conditions.collect(), writes: Vec::new() };
+        let op = Op::Chain { ticket, status, job: id.to_string(), sent: self.now };
+        self.state(op, StateCall::Txn(txn));
+    }
+
+    pub(super) fn chain_reply(
+        &mut self,
+        ticket: Ticket,
+        status: u16,
+        id: &str,
+        sent: Micros,
+        reply: &StateReply,
+    ) {
+        let Some(known) = self.known.get(id).copied() else {
+            return self.later(ticket, 503, "undecided");
+        };
+        let unfinished = known.stage == StoredStage::Accepted;
+        match reply {
+            // What was heard meanwhile is newer than the comparison.
+            _ if !unfinished || matches!(self.fate_of(id), Fate::Cancelled { .. }) => {
+                self.tell(ticket, status, id, known);
+            }
+            StateReply::Applied(_) if self.fresh(sent) => {
+                let answer = self.job_answer(id, known);
+                self.respond(ticket, status, None, &answer);
+            }
+            StateReply::Applied(_) => self.later(ticket, 503, "the state service is slow"),
+            // Somebody has said more of one of them, which is on its way here.
+            StateReply::Conflict(_) => self.later(ticket, 503, "undecided"),
+            _ => self.later(ticket, 503, "state service away"),
+        }
+    }
+
+    /// Looks up the jobs that a submission needs: each must have been accepted.
+    pub(super) fn gather(&mut self, ticket: Ticket, spec: Rc<JobSpec>, size: usize) {
+        let absent = Refusal { error: "a job that was never accepted", field: Some("upstream") };
+        if spec.upstream.contains(&spec.id) {
+            return self.read_or(ticket, &spec.id, 422, None, &absent);
+        }
+        let room = self.settings.state.value_kb * 1024.0 * FULL;
+        if record_bytes(&spec.upstream) as f64 > room {
+            let long = Refusal { error: "names too many jobs", field: Some("upstream") };
+            return self.read_or(ticket, &spec.id, 400, None, &long);
+        }
+        let known = |id: &&String| self.known.contains_key(*id);
+        let unknown: Vec<String> = spec.upstream.iter().filter(|id| !known(id)).cloned().collect();
+        if unknown.is_empty() {
+            self.submissions += 1;
+            return self.arrive(ticket, spec, size);
+        }
+        if unknown.len() > MOST_UNKNOWN {
+            self.note_unknown(unknown);
+            return self.later(ticket, 503, "the jobs that it needs are being read");
+        }
+        self.pipelines.count += 1;
+        let number = self.pipelines.count;
+        let left = unknown.len();
+        let gathering = Gathering { ticket, spec, size, left, missing: false, failed: false };
+        self.pipelines.gathering.insert(number, gathering);
+        for id in unknown {
+            let key = job::job_key(&id);
+            self.state(Op::Gather { number, job: id }, StateCall::Get(key));
+        }
+    }
+
+    pub(super) fn gathered(&mut self, number: u64, id: &str, reply: &StateReply) {
+        let found = self.read_record(id, reply);
+        let known = self.known.contains_key(id);
+        let Some(g) = self.pipelines.gathering.get_mut(&number) else {
+            return;
+        };
+        g.left = g.left.saturating_sub(1);
+        match found {
+            Some(Some(_)) => {}
+            Some(None) => g.missing |= !known,
+            None => g.failed = true,
+        }
+        if g.left > 0 {
+            return;
+        }
+        let Some(g) = self.pipelines.gathering.remove(&number) else {
+            return;
+        };
+        if g.failed {
+            return self.later(g.ticket, 503, "state service away");
+        }
+        if g.missing {
+            let absent =
+                Refusal { error: "a job that was never accepted", field: Some("upstream") };
+            return self.read_or(g.ticket, &g.spec.id, 422, None, &absent);
+        }
+        self.submissions += 1;
+        self.arrive(g.ticket, g.spec, g.size);
+    }
+
+    /// Looks at own waiting jobs: which may go, and which are cancelled.
+    pub(super) fn tend_pipelines(&mut self) {
+        if !self.acting() || self.now < self.pipelines.look_at {
+            return;
+        }
+        self.pipelines.look_at = self.now + LOOK_EVERY;
+        let wall = self.wall();
+        for id in self.pipelines.waiting.iter().cloned().collect::<Vec<_>>() {
+            let waits = |j: &&Job| j.waiting && !j.cancelled && !j.over;
+            let Some(job) = self.jobs.get(&id).filter(waits) else {
+                self.pipelines.waiting.remove(&id);
+                continue;
+            };
+            match self.fate(&job.upstream) {
+                Fate::Free => {
+                    info!("job {id} may start: all that it needs is done");
+                    self.pipelines.waiting.remove(&id);
+                    if let Some(job) = self.jobs.get_mut(&id) {
+                        job.waiting = false;
+                        job.ready = wall;
+                        job.waits = "new";
+                    }
+                    self.place_wanted = true;
+                }
+                Fate::Cancelled { .. } => self.cascade(&id),
+                Fate::Unknown(list) => self.note_unknown(list),
+                Fate::Waits => {}
+            }
+        }
+        self.press();
+    }
+
+    /// Writes down that a waiting job is cancelled with one before it.
+    fn cascade(&mut self, id: &str) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let full = self.pipelines.cascading.len() >= CASCADES;
+        if full || self.pipelines.cascading.contains(id) || !self.runs(job.seat) {
+            // The next look comes soon.
+            self.pipelines.look_at = self.pipelines.look_at.min(self.now + Micros::millis(100));
+            return;
+        }
+        let (seat, tasks) = (job.seat, job.spec.tasks);
+        let record = JobRecord { seat, stage: StoredStage::Cancelled, tasks, upstream: Vec::new() };
+        let key = job::job_key(id);
+        let txn = Txn {
+            conditions: vec![Condition { key: key.clone(), version: job.mark }],
+            writes: vec![Write::Put { key, value: json!(record), lease: None }],
+        };
+        self.pipelines.cascading.insert(id.to_string());
+        self.state(Op::Cascade { job: id.to_string(), seat, tasks }, StateCall::Txn(txn));
+    }
+
+    pub(super) fn cascaded(&mut self, id: &str, seat: usize, tasks: u32, reply: &StateReply) {
+        self.pipelines.cascading.remove(id);
+        match reply {
+            StateReply::Applied(mark) => {
+                info!("job {id} cancelled with one that it needs");
+                let known = Known { stage: StoredStage::Cancelled, seat, tasks, mark: *mark };
+                self.note_known(id, known);
+                self.tell_cancelled(id, *mark);
+                self.job_cancelled(id);
+            }
+            // Perhaps applied, or its user was faster: what is stored decides.
+            StateReply::Conflict(_) | StateReply::Unknown => self.recheck(id),
+            _ => {}
+        }
+    }
+
+    /// Works out how pressing the jobs are that own ones wait for, and tells it.
+    fn press(&mut self) {
+        let all = self.now >= self.pipelines.press_at;
+        if all {
+            self.pipelines.press_at = self.now + PRESS_EVERY;
+        }
+        let mut pressing: BTreeMap<String, (u32, Micros)> = BTreeMap::new();
+        for job in self.pipelines.waiting.iter().filter_map(|id| self.jobs.get(id)) {
+            let (rank, due) = (job.rank(), job.due());
+            for id in job.upstream.iter() {
+                if self.known.get(id).is_some_and(|k| k.stage == StoredStage::Accepted) {
+                    let most = pressing.entry(id.clone()).or_insert((rank, due));
+                    *most = (most.0.min(rank), most.1.min(due));
+                }
+            }
+        }
+        for (id, (rank, due)) in &pressing {
+            if all || self.pipelines.pressing.get(id) != Some(&(*rank, *due)) {
+                let news = Pressing { job: id.clone(), rank: *rank, due_us: due.0 };
+                self.pipelines.news.push(news);
+            }
+            self.hear_pressing(id, *rank, *due);
+        }
+        self.pipelines.pressing = pressing;
+    }
+
+    /// A job is needed by one of this rank and deadline.
+    pub(super) fn hear_pressing(&mut self, id: &str, rank: u32, due: Micros) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let (r, d) = job.pressing.unwrap_or((u32::MAX, Micros::FAR));
+        let most = (r.min(rank), d.min(due));
+        if job.pressing != Some(most) {
+            job.pressing = Some(most);
+            self.place_wanted = true;
+            if self.pipelines.waiting.contains(id) {
+                // What it needs itself is as pressing.
+                self.pipelines.look_at = Micros::ZERO;
+            }
+        }
+    }
+}
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -61,10 +61,10 @@
         let mut order: Vec<_> = self
             .jobs
             .iter()
-            .filter(|(_, j)| !j.cancelled && !j.over && j.pending() > 0)
+            .filter(|(_, j)| !j.cancelled && !j.over && !j.waiting && j.pending() > 0)
             .map(|(id, j)| {
                 let beyond = !self.within_guarantee(used, &j.spec.team, [j.spec.cpus, j.spec.gpus]);
-                (beyond, j.rank(), j.due(), j.accepted, id.clone())
+                (beyond, j.rank(), j.due(), j.ready, id.clone())
             })
             .collect();
         order.sort();
@@ -321,7 +321,7 @@
             return;
         };
         let (s, spec) = (job.seat, Rc::clone(&job.spec));
-        if !self.runs(s) {
+        if !self.runs(s) || job.waiting {
             return;
         }
         if now < job.not_before {
@@ -699,7 +699,8 @@
                 && j.booked() == 0
                 && j.done() == 0
                 && !j.suspect()
-                && wall.since(j.accepted).as_secs_f64() > self.within_s(&j.spec.class) * STARVED
+                && !j.waiting
+                && wall.since(j.ready).as_secs_f64() > self.within_s(&j.spec.class) * STARVED
         };
         let list: Vec<String> =
             self.jobs.iter().filter(|(_, j)| starved(j)).map(|(id, _)| id.clone()).collect();
@@ -722,7 +723,7 @@
         let mut waiting: Vec<(bool, u32, Rc<JobSpec>)> = Vec::new();
         for j in self.jobs.values().filter(|j| !j.cancelled && !j.over && j.open() > 0) {
             let within = self.within_s(&j.spec.class);
-            let waited = wall.since(j.accepted).as_secs_f64();
+            let waited = wall.since(j.ready).as_secs_f64();
             if waited > SOON_S && j.waits == NO_ROOM {
                 waiting.push((waited > within * LATE, j.pending(), Rc::clone(&j.spec)));
             }
--- a/src/controller/questions.rs
+++ b/src/controller/questions.rs
@@ -7,6 +7,7 @@
 //! that changes nothing and compares the versions of all their keys.
 
 use super::job::{self, StoredStage};
+use super::pipeline::Fate;
 use super::{Controller, Op, Ticket};
 use crate::config;
 use crate::state::{Bucket, CALL_SHARE, StateCall, StateReply};
@@ -98,6 +99,11 @@
         if let Some(known) = known.filter(|k| k.stage != StoredStage::Accepted) {
             return self.tell(ticket, 200, id, known);
         }
+        if let Some(known) = known
+            && self.fate_of(id) != Fate::Free
+        {
+            return self.tell(ticket, 200, id, known);
+        }
         match known.filter(|k| k.mark > 0) {
             Some(known) if !self.questions.plenty(now) => {
                 if self.questions.count >= MOST_WAITING {
--- a/src/controller/seats.rs
+++ b/src/controller/seats.rs
@@ -470,6 +470,7 @@
                     warn!("unreadable record of job {id}");
                     return;
                 };
+                self.pipelines.note(id, &record);
                 self.note_known(
                     id,
                     Known {
@@ -644,11 +645,12 @@
             if self.jobs.contains_key(&id) {
                 continue;
             }
-            let Some((Some(record), mark)) = l.records.get(&id).copied() else {
+            let Some((Some(record), mark)) = l.records.remove(&id) else {
                 warn!("tasks of job {id} without a record");
                 self.acceptance.unbundle(&id);
                 continue;
             };
+            self.pipelines.note(&id, &record);
             self.note_known(
                 &id,
                 Known { stage: record.stage, seat: record.seat, tasks: record.tasks, mark },
@@ -661,6 +663,11 @@
             let stage = self.known.get(&id).map_or(record.stage, |k| k.stage);
             job.cancelled = stage == StoredStage::Cancelled;
             job.over = stage == StoredStage::Done;
+            job.upstream = record.upstream.as_slice().into();
+            job.waiting = !job.upstream.is_empty() && stage == StoredStage::Accepted;
+            if job.waiting {
+                self.pipelines.wait(&id);
+            }
             if job.over {
                 // What its parts still name has completed; it must not be
                 // wanted, and so started, again.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -505,6 +505,20 @@
     pub machines: u32,
 }
 
+/// A job that others need, and how pressing the most pressing of them is.
+#[derive(Clone, PartialEq, Message)]
+pub struct Pressing {
+    /// Job.
+    #[prost(string, tag = "1")]
+    pub job: String,
+    /// Rank of service: lower is more urgent.
+    #[prost(uint32, tag = "2")]
+    pub rank: u32,
+    /// Time of day of the deadline, in microseconds.
+    #[prost(uint64, tag = "3")]
+    pub due_us: u64,
+}
+
 /// One message between controllers.
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
@@ -578,6 +592,9 @@
     /// Revision of the state service up to which the sender has heard of jobs.
     #[prost(uint64, tag = "22")]
     pub watched: u64,
+    /// Jobs that the sender's waiting jobs need.
+    #[prost(message, repeated, tag = "23")]
+    pub pressing: Vec<Pressing>,
 }
 
 /// Appends a frame with its length in front.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use std::collections::BTreeSet;
 
 /// Paths of the users' and workers' interfaces that this service answers.
 pub mod path {
@@ -117,6 +118,10 @@
     /// Deadline after submission.
     #[serde(rename = "dueS", default, skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts. They are stored
+    /// with the job's record, where every node follows them.
+    #[serde(skip)]
+    pub upstream: Vec<String>,
 }
 
 /// Why a submission is malformed.
@@ -212,7 +217,17 @@
         None => None,
         Some(_) => Some(amount("dueS")?),
     };
+    let upstream = match get("upstream") {
+        None => Vec::new(),
+        Some(Value::Array(list)) => {
+            let name = |v: &Value| v.as_str().filter(|s| valid_job_id(s)).map(String::from);
+            let names: Option<BTreeSet<String>> = list.iter().map(name).collect();
+            names.ok_or_else(|| bad("upstream", "must be a list of job ids"))?.into_iter().collect()
+        }
+        Some(_) => return Err(bad("upstream", "must be a list of job ids")),
+    };
     let spec = JobSpec {
+        upstream,
         class,
         team,
         priority,
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -589,7 +589,7 @@
 #[test]
 fn stored_jobs() {
     let spec = wire::parse_job(body().to_string().as_bytes()).expect("a good submission");
-    let size = PartSize { tasks: 5, bytes: 1_000 };
+    let size = PartSize { tasks: 5, bytes: 1_000, described: false };
     let mut j = Job::new(Rc::new(spec), 2, 9, Micros::secs(77), size);
     assert_eq!((j.parts.len(), j.pending()), (4, 16));
     let now = Micros::secs(3);
@@ -607,7 +607,7 @@
     let stored: BTreeMap<usize, (Value, u64)> =
         [0, 1].into_iter().map(|n| (n, (j.encode_part(n), 20 + n as u64))).collect();
     // Read with other settings: the stored size of the parts holds.
-    let other = PartSize { tasks: 100, bytes: 1_000 };
+    let other = PartSize { tasks: 100, bytes: 1_000, described: false };
     let back = Job::restore(2, 9, other, &stored).expect("stored parts");
     assert_eq!((back.done(), back.booked(), back.pending()), (5, 1, 10));
     assert_eq!(back.accepted, Micros::secs(77));
@@ -677,7 +677,13 @@
         b["apart"] = json!(apart);
         b["planks"] = json!(tasks);
         let spec = wire::parse_job(b.to_string().as_bytes()).expect("a good submission");
-        let j = Job::new(Rc::new(spec), 0, 1, Micros::ZERO, PartSize { tasks: 10, bytes: 1_000 });
+        let j = Job::new(
+            Rc::new(spec),
+            0,
+            1,
+            Micros::ZERO,
+            PartSize { tasks: 10, bytes: 1_000, described: false },
+        );
         let zones: BTreeMap<Rc<str>, u32> = taken.iter().map(|(z, n)| (Rc::from(*z), *n)).collect();
         assert_eq!(j.zone_allows(&zones, zone), want, "{together} {apart} {taken:?} {zone}");
     }
@@ -994,7 +1000,7 @@
 #[test]
 fn bundles() {
     use millethold::controller::job::{bundle_key, decode_bundle, encode_bundle, is_bundle};
-    let size = PartSize { tasks: 5, bytes: 1_000 };
+    let size = PartSize { tasks: 5, bytes: 1_000, described: false };
     let job = |id: &str| {
         let mut body = body();
         body["ref"] = json!(id);
@@ -1037,8 +1043,13 @@
         let mut body = body();
         body["urgency"] = json!(urgency);
         let spec = wire::parse_job(body.to_string().as_bytes()).expect("a good submission");
-        let mut j =
-            Job::new(Rc::new(spec), 1, 0, Micros::ZERO, PartSize { tasks: 5, bytes: 1_000 });
+        let mut j = Job::new(
+            Rc::new(spec),
+            1,
+            0,
+            Micros::ZERO,
+            PartSize { tasks: 5, bytes: 1_000, described: false },
+        );
         j.raised = raised;
         assert_eq!(j.rank(), rank, "{urgency}, {raised}");
     }
