--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -4,9 +4,8 @@
 mod rehearsal;
 
 use millethold::time::Micros;
-use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
-use rehearsal::{CancelNow, LateWrites, Plan, Troubles, World, judge};
+use rehearsal::chance::{chance_meeting, late, peers_of};
+use rehearsal::{CancelNow, Plan, Troubles, World, judge};
 
 /// A meeting: its name, what goes wrong, what users hand in, and what the run must have
 /// shown, without which the troubles did not meet.
@@ -82,14 +81,6 @@
     world.changed("hold/").saturating_sub(3)
 }
 
-fn peers_of(node: usize, from: u64, to: u64) -> Vec<(usize, usize, u64, u64)> {
-    (0..3).filter(|n| *n != node).map(|n| (node, n, from, to)).collect()
-}
-
-fn late(from: u64, to: u64, share: f64, at_once: bool) -> Vec<LateWrites> {
-    vec![LateWrites { from, to, share, at_once }]
-}
-
 /// One controller is refused by the state service while another confirms
 /// cancellations, of which it cannot hear there; then the service is away for all.
 /// Nobody can ask it, and the tasks still have to be gone in time.
@@ -829,55 +820,6 @@
     assert!(world.broken.is_empty(), "{:?}", world.broken);
 }
 
-/// A few troubles at random, by the seed: meetings that nobody thought of.
-fn chance_meeting(seed: u64) -> Troubles {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let mut t = Troubles { machines: Some(24), back_ms: 3_000, ..Troubles::default() };
-    for _ in 0..2 {
-        let hang_s = [0, 0, 8][rng.random_range(0..3)];
-        let at_ms = rng.random_range(17_000..40_000);
-        t.cancel_now.push(CancelNow { at_ms, count: 6, hang_s });
-    }
-    for _ in 0..rng.random_range(2..5) {
-        let node = rng.random_range(0..3);
-        let from = rng.random_range(14..40);
-        let to = from + rng.random_range(2..40);
-        let some = rng.random_range(0..16)..rng.random_range(16..24);
-        match rng.random_range(0..24) {
-            0 => t.state_cuts.push((node, from, to)),
-            1 => t.outages.push((from, to)),
-            2 => t.peer_cuts.extend(peers_of(node, from, to)),
-            3 => t.crashes.extend([(from, 1 + node), (to, 1)]),
-            4 => t.late_writes.extend(late(from, to, 0.3, false)),
-            5 => t.late_writes.extend(late(from, to, 0.3, true)),
-            6 => t.for_next = Some((from, to, 0.3)),
-            7 => t.copies = 0.2,
-            8 => t.mute.extend(some.map(|w| (w, from, to))),
-            9 => t.deaf.extend(some.map(|w| (w, from, to))),
-            10 => t.worker_cuts.extend(some.map(|w| (w, from, to, w % 2 == 0))),
-            11 => t.close_looks = Some((5, 90)),
-            12 => t.cancel_at_end = Some((5, 90, 0.5)),
-            13 => t.odd_requests = Some((5, 90)),
-            14 => t.slow_state = Some((from, to, 900)),
-            15 => t.slow_links = Some((from, to, 300)),
-            16 => t.held = 0.3,
-            17 => t.node_cuts.push((node, from, to, some.start % 2 == 0)),
-            18 => t.frozen.push((node, from, from + 8)),
-            19 => t.hung_watches.push((node, from, to)),
-            20 => (t.lost, t.late) = (0.05, 0.6),
-            21 => t.slow_watches = 1_500,
-            22 => t.taken.extend(some.step_by(3).map(|w| (from, w))),
-            _ => {
-                t.state_cuts.push((node, from, to));
-                t.peer_cuts.extend(peers_of(node, from, to));
-                t.user_cuts.push((node, from, to));
-                t.only.extend((0..24).step_by(2).map(|w| (w, node, from, to)));
-            }
-        }
-    }
-    t
-}
-
 /// The first seeds are those that have shown a fault: work left waiting after a frame
 /// was lost, or after a lease came back under which much had been heard and not judged.
 #[test]
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -4,6 +4,7 @@
 mod rehearsal;
 
 use millethold::time::Micros;
+use rehearsal::chance::chance_meeting;
 use rehearsal::{CancelNow, LateWrites, Plan, Troubles, World, judge};
 
 /// A row: its name, what goes wrong, what users hand in, and what the run must have shown.
@@ -695,3 +696,11 @@
     let (_, found) = judged(|w| w.forge_end(0), |w| w.forge_start(0, 1, 0));
     assert!(!found.iter().any(|b| b.contains("too_early")), "{found:?}");
 }
+
+/// Troubles at random, by the seed, beside pipelines: meetings that nobody thought of.
+#[test]
+fn chance_meetings() {
+    let play = |seed| run(&row("by chance", chance_meeting(seed), |_| true), seed);
+    let wrong: Vec<String> = (900..912).filter_map(play).collect();
+    assert!(wrong.is_empty(), "{} runs:\n{}", wrong.len(), wrong.join("\n"));
+}
--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -6,6 +6,7 @@
 
 #![allow(dead_code)]
 
+pub mod chance;
 mod cloud;
 mod store;
 mod worker;
