Rehearse the state service lowering its limits

No transaction may pass the limits of its time before they are lowered; afterwards it is refused, and the work has to go on.

--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -697,6 +697,59 @@
     assert!(!found.iter().any(|b| b.contains("too_early")), "{found:?}");
 }
 
+/// The state service takes smaller values and transactions from some moment on. Jobs that
+/// were divided for larger ones, and those that wait, go on.
+#[test]
+fn lowered_limits() {
+    let arrays = || {
+        let mut plans = mixed();
+        plans.extend(
+            [(3, 300, 20.0), (5, 120, 30.0), (40, 200, 6.0)]
+                .map(|(at_s, tasks, run_s)| Plan { urgency: "low", ..blue(at_s, tasks, run_s) }),
+        );
+        // More than the changes of a second, so that some are accepted together.
+        plans.extend((0..30).map(|n| blue(4 + n / 15, 1 + n as u32 % 2, 12.0)));
+        plans
+    };
+    let one_by_one = vec![(26, 1), (29, 1), (32, 1), (35, 1), (38, 1)];
+    let table = [
+        ("known from the start", Troubles { lowered: Some((0, 30)), ..Troubles::default() }),
+        (
+            "known from the start, and a crash beside",
+            Troubles {
+                lowered: Some((0, 30)),
+                crashes: vec![(31, 1), (44, 3)],
+                back_ms: 500,
+                late_writes: vec![LateWrites { from: 20, to: 50, share: 0.1, at_once: false }],
+                ..Troubles::default()
+            },
+        ),
+        (
+            "learnt by those that come back, one by one",
+            Troubles {
+                lowered: Some((25, 60)),
+                crashes: one_by_one.clone(),
+                back_ms: 500,
+                ..Troubles::default()
+            },
+        ),
+        (
+            "learnt a moment before",
+            Troubles {
+                lowered: Some((25, 36)),
+                crashes: [vec![(26, 3)], vec![(37, 1)]].concat(),
+                back_ms: 500,
+                writes: Some(40.0),
+                ..Troubles::default()
+            },
+        ),
+    ];
+    let rows =
+        table.map(|(name, troubles)| Row { plans: arrays(), ..row(name, troubles, |_| true) });
+    let refused = |w: &World| w.refused_large < 60;
+    play(rows.into_iter().map(|row| Row { shown: refused, ..row }).collect(), 850..852);
+}
+
 /// Troubles at random, by the seed, beside pipelines: meetings that nobody thought of.
 #[test]
 fn chance_meetings() {
--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -30,6 +30,9 @@
 pub const CANCEL_S: f64 = 30.0;
 /// Limit of the red team.
 const RED_MAX: f64 = 14.0;
+/// The state service's largest value, in KiB, and changes in a transaction; and later.
+const LIMITS: (f64, usize) = (8.0, 8);
+const LOWERED: (f64, usize) = (2.0, 4);
 const TICK: Micros = Micros::millis(50);
 
 /// What goes wrong, as chances or times.
@@ -84,6 +87,9 @@
     pub slow_watches: u64,
     /// Requests a second that the state service takes, if that is little.
     pub reads: Option<f64>,
+    /// The state service lowers its limits: controllers that start from the first second
+    /// on know that they will be, as an upgraded version does; and when they are.
+    pub lowered: Option<(u64, u64)>,
     /// Workers on which every task fails.
     pub sick: BTreeSet<usize>,
     /// Watches of a controller hang while its other calls are served: controller,
@@ -354,9 +360,11 @@
     pub told: u64,
     /// Tasks named in wants.
     pub named: u64,
+    /// Transactions refused since they are larger than the lowered limits.
+    pub refused_large: u64,
 }
 
-fn settings(node: usize, writes: f64, reads: f64) -> Config {
+fn settings(node: usize, writes: f64, reads: f64, next: &str) -> Config {
     let peers: String = (0..3)
         .filter(|n| *n != node)
         .map(|n| format!("[[peers]]\nmember = \"n{n}\"\naddress = \"10.0.0.{n}:81\"\n"))
@@ -386,6 +394,7 @@
 write_rps = {writes}
 value_kb = 8.0
 txn_ops = 8
+{next}
 [settings.cloud]
 rps = 50.0
 list_lag_s = 3.0
@@ -413,7 +422,7 @@
                 .map(|n| {
                     let [writes, reads] =
                         [troubles.writes, troubles.reads].map(|r| r.unwrap_or(1_000.0));
-                    settings(n, writes, reads)
+                    settings(n, writes, reads, "")
                 })
                 .collect(),
             nodes: vec![None, None, None],
@@ -447,6 +456,7 @@
             begun: BTreeMap::new(),
             told: 0,
             named: 0,
+            refused_large: 0,
             troubles,
             rng: StdRng::seed_from_u64(rng.random()),
         };
@@ -809,6 +819,12 @@
     fn start(&mut self, node: usize) {
         let seed = self.rng.random();
         let incarnation = self.rng.random();
+        if self.troubles.lowered.is_some_and(|(known, _)| self.now >= Micros::secs(known)) {
+            let [writes, reads] =
+                [self.troubles.writes, self.troubles.reads].map(|r| r.unwrap_or(1_000.0));
+            let next = format!("next = {{ value_kb = {:.1}, txn_ops = {} }}", LOWERED.0, LOWERED.1);
+            self.config[node] = settings(node, writes, reads, &next);
+        }
         let controller =
             Controller::new(&self.config[node], Options::default(), seed, Micros::secs(1_000_000));
         self.nodes[node] = Some(Node { controller, incarnation });
@@ -954,6 +970,16 @@
         }
         if let StateCall::Txn(txn) = &call {
             self.broken.extend(store::unfenced(txn));
+            let lowered = self.troubles.lowered.is_some_and(|(_, at)| self.now >= Micros::secs(at));
+            let (kb, ops) = if lowered { LOWERED } else { LIMITS };
+            if let Some(what) = store::too_large(txn, kb, ops) {
+                if !lowered {
+                    self.broken.push(format!("a transaction that is refused: {what}"));
+                }
+                self.refused_large += 1;
+                let event = reply(StateReply::Invalid);
+                return self.at(reply_at, Ev::Node { node, incarnation, event });
+            }
         }
         if lose && matches!(call, StateCall::Txn(_)) {
             if self.chance(self.troubles.late) {
--- a/tests/rehearsal/store.rs
+++ b/tests/rehearsal/store.rs
@@ -256,3 +256,17 @@
     }
     lacks
 }
+
+/// What of a transaction is more than the state service takes.
+pub fn too_large(txn: &millethold::wire::Txn, value_kb: f64, ops: usize) -> Option<String> {
+    if txn.writes.len() > ops || txn.conditions.len() > 4 * ops {
+        return Some(format!("{} changes, {} conditions", txn.writes.len(), txn.conditions.len()));
+    }
+    let size = |w: &Write| match w {
+        Write::Put { value, key, .. } => Some((value.to_string().len(), key.clone())),
+        Write::Delete { .. } => None,
+    };
+    let most = (value_kb * 1024.0) as usize;
+    let large = txn.writes.iter().filter_map(size).find(|(len, _)| *len > most);
+    large.map(|(len, key)| format!("{len} bytes in {key}"))
+}
