--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -388,6 +388,8 @@
     told_health: Option<Option<&'static str>>,
     /// When this process last might act.
     acted_at: Micros,
+    /// It might act when last looked at.
+    was_acting: bool,
 
     seq: u64,
     /// Terms of the seats that own seats' wants have taken into account.
@@ -515,6 +517,7 @@
             refusals_at: Micros::ZERO,
             told_health: None,
             acted_at: Micros::ZERO,
+            was_acting: false,
             seq: 0,
             told_terms: vec![0; count],
             dirty_jobs: BTreeSet::new(),
@@ -610,7 +613,12 @@
 
     fn tick(&mut self) {
         if self.acting() {
+            if !std::mem::replace(&mut self.was_acting, true) {
+                self.judge_all();
+            }
             self.acted_at = self.now;
+        } else {
+            self.was_acting = false;
         }
         self.tend_reach();
         self.tend_seats();
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -53,6 +53,15 @@
         }
     }
 
+    /// Looks at all own tasks: what was heard while this process might not act has
+    /// been taken in, and nobody has drawn its conclusions.
+    pub(super) fn judge_all(&mut self) {
+        let all: Vec<(usize, Rc<str>)> = self.by_machine.keys().cloned().collect();
+        for (s, machine) in all {
+            self.judge_machine(s, &machine);
+        }
+    }
+
     /// Works out what became of a task from what its machine's seat says.
     fn judge(&mut self, id: &str, index: u32) {
         let Some(term) = self.jobs.get(id).and_then(|j| self.my_term(j.seat)) else {
