--- a/src/config.rs
+++ b/src/config.rs
@@ -100,6 +100,9 @@
     /// What it will take from some moment on, without notice; what is absent stays.
     #[serde(default)]
     pub next: Option<NextLimits>,
+    /// Largest value until then.
+    #[serde(skip)]
+    pub value_kb_now: f64,
 }
 
 /// Limits that the state service will have later.
@@ -127,6 +130,7 @@
             value_kb: least(self.value_kb, next.value_kb),
             txn_ops: next.txn_ops.map_or(self.txn_ops, |n| n.min(self.txn_ops)),
             next: self.next.clone(),
+            value_kb_now: self.value_kb,
         }
     }
 }
--- a/src/controller/job.rs
+++ b/src/controller/job.rs
@@ -301,6 +301,10 @@
     at as u64
 }
 
+fn spec_bytes(spec: &JobSpec) -> usize {
+    serde_json::to_vec(spec).map_or(0, |v| v.len())
+}
+
 /// How tasks are divided into parts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PartSize {
@@ -387,7 +391,7 @@
     pub fn new(spec: Rc<JobSpec>, seat: usize, mark: u64, accepted: Micros, size: PartSize) -> Job {
         let PartSize { tasks: part_size, bytes: room, described } = size;
         let first_room = match described {
-            true => room.saturating_sub(serde_json::to_vec(&*spec).map_or(0, |v| v.len())),
+            true => room.saturating_sub(spec_bytes(&spec)),
             false => room,
         };
         let upstream: Rc<[String]> = spec.upstream.as_slice().into();
@@ -429,6 +433,17 @@
         }
     }
 
+    /// How much room its parts have. One that was divided for larger values keeps
+    /// its parts; `larger` is how they were divided, as long as such values are taken.
+    pub fn fit(&mut self, size: PartSize, larger: Option<PartSize>) {
+        let size = larger.filter(|_| self.part_size > size.tasks).unwrap_or(size);
+        self.room = size.bytes;
+        self.first_room = match size.described {
+            true => size.bytes.saturating_sub(spec_bytes(&self.spec)),
+            false => size.bytes,
+        };
+    }
+
     /// The value of a part as it stands.
     pub fn encode_part(&self, n: usize) -> Value {
         let part = &self.parts[n];
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -345,6 +345,9 @@
     /// Own seats' tasks by seat and machine.
     by_machine: BTreeMap<(usize, Rc<str>), TaskSet>,
     part_size: job::PartSize,
+    /// How an earlier version divides jobs, as long as the state service takes values
+    /// that are larger than it will later.
+    larger: Option<job::PartSize>,
     submissions: usize,
     questions: questions::Questions,
     acceptance: accept::Acceptance,
@@ -487,6 +490,8 @@
             progress: BTreeMap::new(),
             by_machine: BTreeMap::new(),
             part_size: job::PartSize::new(config.settings.state.value_kb),
+            larger: (config.settings.state.value_kb_now > config.settings.state.value_kb)
+                .then(|| job::PartSize::new(config.settings.state.value_kb_now)),
             submissions: 0,
             questions: questions::Questions::new(&config.settings.state, count),
             acceptance: accept::Acceptance::default(),
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -428,8 +428,11 @@
             return;
         };
         let most = self.settings.state.txn_ops.min(PARTS_PER_TXN);
-        let smaller = self.settings.state.next.is_some();
-        let limit = (self.settings.state.value_kb * 1024.0) as usize;
+        // What is larger is refused once the state service has its new limits.
+        let limit =
+            self.larger.map_or(self.settings.state.value_kb, |_| self.settings.state.value_kb_now);
+        let limit = (limit * 1024.0) as usize;
+        let lowered = self.settings.state.next.is_some();
         if job.cancelled && !job.over {
             // Its ends need not be stored: nothing of it is ever started again.
             for part in &mut job.parts {
@@ -492,7 +495,7 @@
                 let part = &job.parts[n];
                 let key = job::part_key(s, id, n);
                 let value = job.encode_part(n);
-                if smaller && value.to_string().len() > limit {
+                if lowered && value.to_string().len() > limit {
                     // Of a time with larger values: nothing more is placed in it, and
                     // it is written once enough of it has ended.
                     log::debug!("part {n} of job {id} is too large to be written yet");
@@ -519,6 +522,14 @@
         self.state(op, StateCall::Txn(txn));
     }
 
+    /// The state service refuses values that it took before: it has its new limits.
+    fn limits_lowered(&mut self) {
+        info!("the state service takes only smaller values from now on");
+        self.larger = None;
+        let size = self.part_size;
+        self.jobs.values_mut().for_each(|j| j.fit(size, None));
+    }
+
     fn forget_job(&mut self, id: &str) {
         self.dirty_jobs.remove(id);
         self.refresh_job_wants(id);
@@ -589,6 +600,10 @@
                 }
             }
             (Op::Store { .. }, StateReply::Refused) => {}
+            (Op::Store { .. }, StateReply::Invalid) if self.larger.is_some() => {
+                self.limits_lowered();
+                self.recheck(&id);
+            }
             // It may have been applied, or may be later: what is stored decides,
             // and a late one fails on the parts' marks.
             (Op::Store { .. }, _) => self.recheck(&id),
--- a/src/controller/seats.rs
+++ b/src/controller/seats.rs
@@ -659,6 +659,7 @@
                 warn!("stored tasks of job {id} cannot be read");
                 continue;
             };
+            job.fit(self.part_size, self.larger);
             // What was said since its record was read came by the watch.
             let stage = self.known.get(&id).map_or(record.stage, |k| k.stage);
             job.cancelled = stage == StoredStage::Cancelled;
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -919,11 +919,32 @@
         ("lease_s = 12.0", "lease_s = 0.0", "lease_s"),
         ("lease_s = 12.0", "lease_s = nan", "lease_s"),
         ("txn_ops = 8", "txn_ops = 1", "txn_ops"),
+        ("txn_ops = 8", "txn_ops = 8\nnext = { txn_ops = 1 }", "state.next.txn_ops"),
+        ("txn_ops = 8", "txn_ops = 8\nnext = { value_kb = 0.0 }", "state.next.value_kb"),
+        ("txn_ops = 8", "txn_ops = 8\nnext = { rps = nan }", "state.next.rps"),
+        ("txn_ops = 8", "txn_ops = 8\nnext = { write_rps = -3.0 }", "state.next.write_rps"),
+        ("txn_ops = 8", "txn_ops = 8\nnext = 4", "line"),
         ("write_rps = 10.0", "write_rps = -1.0", "write_rps"),
         ("fd_limit = 100", "fd_limit = 3", "fd_limit"),
         ("[settings.cloud]", "[settings.clouds]", "cloud"),
         ("name = \"red\"", "name = \"red\"\ncpus = -1.0", "teams"),
     ];
+    // The smaller of the limits of now and later are kept; what is absent stays.
+    let state = &config.settings.state;
+    let later = |next: &str| {
+        let text = SETTINGS.replace("txn_ops = 8", &format!("txn_ops = 8\nnext = {next}"));
+        Config::parse(&text).expect("good settings").settings.state
+    };
+    let table_of_limits = [
+        ("{}", state.value_kb, state.txn_ops, state.write_rps),
+        ("{ value_kb = 2.0, txn_ops = 4, write_rps = 3.0 }", 2.0, 4, 3.0),
+        ("{ value_kb = 900.0, txn_ops = 99, write_rps = 1e6 }", state.value_kb, 8, state.write_rps),
+    ];
+    for (next, value_kb, txn_ops, write_rps) in table_of_limits {
+        let kept = later(next);
+        assert_eq!((kept.value_kb, kept.txn_ops, kept.write_rps), (value_kb, txn_ops, write_rps));
+        assert_eq!(kept.value_kb_now, state.value_kb, "{next}");
+    }
     for (from, to, named) in table {
         assert!(SETTINGS.contains(from), "{from}");
         let error = Config::parse(&SETTINGS.replace(from, to)).expect_err(to).0;
