--- a/tests/simulation/controllers.rs
+++ b/tests/simulation/controllers.rs
@@ -153,6 +153,10 @@
         let reset = node_cut.is_some_and(|(_, held)| !held);
         if self.deaf(worker) || self.apart(worker, node) || reset {
             self.at(self.now + DIRECT_TIMEOUT, no_answer);
+        } else if let Some(hold) = self.hold_of_commands() {
+            let sent = self.now;
+            self.at(at + hold, SimEvent::HeldCommands { worker, body, sent });
+            self.at(self.now + DIRECT_TIMEOUT, no_answer);
         } else if held || cut.is_some() {
             let late = Micros::secs(self.rng.random_range(1..20));
             let at = cut.unwrap_or(self.now) + late;
@@ -164,6 +168,13 @@
         }
     }
 
+    /// For how long direct commands that are sent now are held, if they are.
+    fn hold_of_commands(&mut self) -> Option<Micros> {
+        let hold = self.faults.held_commands.filter(|h| self.during(h.from, h.to))?;
+        let (least, most) = (hold.least_s * 1_000, hold.most_s * 1_000);
+        self.chance(hold.share).then(|| Micros::millis(self.rng.random_range(least..=most)))
+    }
+
     /// What a question about how a worker stands is answered with.
     fn inspect(&self, node: usize, address: SocketAddrV4) -> DirectReply {
         let worker = usize::from(address.port());
--- a/tests/simulation/event.rs
+++ b/tests/simulation/event.rs
@@ -48,6 +48,8 @@
     LateTxn { call: StateCall },
     /// Direct commands reach a worker.
     Direct { node: usize, incarnation: u64, id: CallId, worker: usize, body: Vec<u8> },
+    /// Direct commands that were held reach a worker; their sender has given them up.
+    HeldCommands { worker: usize, body: Vec<u8>, sent: Micros },
     /// A frame reaches a peer.
     Peer { from: usize, link: u64, to: usize, frame: Box<Frame> },
     /// A connection to a peer is there.
--- a/tests/simulation/faults.rs
+++ b/tests/simulation/faults.rs
@@ -43,6 +43,9 @@
     pub late: f64,
     /// Chance that a direct command is held for up to twenty seconds.
     pub held: f64,
+    /// Direct commands that are held for long, while the reports of the same machine and
+    /// session are answered.
+    pub held_commands: Option<HeldCommands>,
     /// The cloud takes these machines at that time.
     pub taken: Vec<(u64, usize)>,
     /// Machines at the start, if not the usual five.
@@ -119,6 +122,17 @@
     pub hang_s: u64,
 }
 
+/// This share of the direct commands sent in this time is held for between so many
+/// seconds; nobody hears of them meanwhile.
+#[derive(Debug, Clone, Copy)]
+pub struct HeldCommands {
+    pub from: u64,
+    pub to: u64,
+    pub share: f64,
+    pub least_s: u64,
+    pub most_s: u64,
+}
+
 impl Faults {
     /// When the last of them is over and what they held back has arrived.
     pub(super) fn over(&self) -> Micros {
@@ -138,6 +152,7 @@
         ends.extend(self.node_cuts.iter().map(|c| c.2 + 20));
         ends.extend(self.taken.iter().map(|c| c.0));
         ends.extend(self.storm.iter().map(|c| c.1));
+        ends.extend(self.held_commands.iter().map(|h| h.to + h.most_s));
         ends.extend(self.late_writes.iter().map(|l| l.to + 12));
         ends.extend(self.for_next.iter().map(|c| c.1));
         ends.extend(self.cancel_now.iter().map(|c| c.at_ms / 1_000 + 1 + c.hang_s));
--- a/tests/simulation/machines.rs
+++ b/tests/simulation/machines.rs
@@ -2,7 +2,7 @@
 
 use super::event::{Origin, SimEvent};
 use super::jobs::Plan;
-use super::settings::CONTROLLERS;
+use super::settings::{CANCEL_S, CONTROLLERS};
 use super::worker::Worker;
 use super::world::World;
 use millethold::controller::{CallId, DirectReply, Event, Reply, Ticket};
@@ -65,6 +65,18 @@
         self.at(at, SimEvent::Node { node, incarnation, event });
     }
 
+    /// Direct commands that were held reach a worker, long after they were sent.
+    pub(super) fn held_commands_arrive(&mut self, worker: usize, body: &[u8], sent: Micros) {
+        if self.workers[worker].gone {
+            return;
+        }
+        if self.now > sent + Micros::from_secs_f64(CANCEL_S) {
+            self.long_held += 1;
+        }
+        let (_, begun, _) = self.workers[worker].direct(self.now, worker, body);
+        self.note_starts(worker, begun);
+    }
+
     /// A worker goes on with its tasks, and reports if it is time.
     pub(super) fn worker_turn(&mut self, worker: usize) {
         if self.workers[worker].gone {
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -40,7 +40,7 @@
 mod world;
 
 #[allow(unused_imports)]
-pub use faults::{CancelNow, Faults, LateWrites};
+pub use faults::{CancelNow, Faults, HeldCommands, LateWrites};
 pub use jobs::Plan;
 #[allow(unused_imports)]
 pub use outcome::{judge, until_done};
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -82,6 +82,8 @@
     pub told: u64,
     /// Tasks named in wants.
     pub named: u64,
+    /// Direct commands that reached their worker after the time that a cancellation has.
+    pub long_held: u64,
     /// Transactions refused since they are larger than the lowered limits.
     pub refused_large: u64,
 }
@@ -143,6 +145,7 @@
             begun: BTreeMap::new(),
             told: 0,
             named: 0,
+            long_held: 0,
             refused_large: 0,
             faults,
             rng: StdRng::seed_from_u64(rng.random()),
@@ -292,6 +295,9 @@
             SimEvent::Direct { node, incarnation, id, worker, body } => {
                 self.direct(node, incarnation, id, worker, &body)
             }
+            SimEvent::HeldCommands { worker, body, sent } => {
+                self.held_commands_arrive(worker, &body, sent)
+            }
             SimEvent::PeerUp { from, to, link } => self.peer_up(from, to, link),
             SimEvent::Peer { from, link, to, frame } => self.deliver_frame(from, link, to, frame),
             SimEvent::Answer { ticket, left, status, body } => {
