Starts that may still arrive are revoked by a higher token; one gate forms starts

Cause: a direct start is executed as long as token and session match. Change: a start is formed in one place (start_gate) from the manager's right and what is known of the task's job. Where a start may still arrive by a direct command and its job is over, or it is given up and its command was not answered, the answer to the worker's next report carries a higher token, of which each take now leaves a range free for its term; a worker that does not hear it loses its lease and so the session. Decisions are logged with key=value fields under one target and counted in /status; an answer that would renew a lease beside such a start is a violation: a panic in tests, an error line and a counter.

--- /dev/null
+++ b/src/controller/decision_log.rs
@@ -0,0 +1,158 @@
+//! Log lines and counters of the decisions on which the rules rest.
+//!
+//! All lines have one target and `key=value` fields with the same names everywhere, so
+//! that a log can be searched by `job`, `machine`, `shard`, `term` or `revision`.
+
+use super::Controller;
+use super::Watch;
+use super::fleet::RENTING_SHARD;
+use super::job::StoredStage;
+use super::machine::{ManagedMachine, Revocation};
+use super::shard::OwnedShard;
+use super::stage_cache::CachedStage;
+use super::start_gate::{ManagerRight, StartViolation};
+use crate::time::Micros;
+use serde::Serialize;
+
+/// Target of the log lines about decisions.
+pub const TARGET: &str = "millethold::decision";
+
+/// How many decisions of each kind have been made, for the status page.
+#[derive(Debug, Clone, Default, Serialize)]
+pub(super) struct DecisionCounts {
+    /// Starts sent straight to workers.
+    pub(super) direct_starts: u64,
+    /// Starts in answers to reports.
+    pub(super) answered_starts: u64,
+    /// Stops, either way.
+    pub(super) stops: u64,
+    /// Exited tasks removed from reports.
+    pub(super) forgets: u64,
+    /// Direct commands with starts that got no answer.
+    pub(super) unanswered_starts: u64,
+    /// Workers shown a higher token, so that starts on their way are not executed.
+    pub(super) raised_tokens: u64,
+    /// Tasks that were on these workers: ending their sessions instead would have
+    /// lost them.
+    pub(super) tasks_beside_raises: u64,
+    /// Machines that were asked for, by request.
+    pub(super) rent_requests: u64,
+    /// Machines that were returned.
+    pub(super) returned_machines: u64,
+    /// Users told that their job is cancelled or done.
+    pub(super) final_answers: u64,
+    /// Decisions that were not carried out since they would have broken a rule. Any
+    /// other value than 0 is a fault of this program.
+    pub(super) violations: u64,
+}
+
+/// Something that this program must never do, found before it was done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Violation {
+    /// Of a start.
+    Start(StartViolation),
+    /// An answer would renew a lease while a start of a job that is over may arrive.
+    OpenStartOfEndedJob,
+}
+
+/// A shard's lease was taken.
+pub(super) fn shard_taken(shard: usize, owned: &OwnedShard, lease_until: Micros) {
+    log::info!(
+        target: TARGET,
+        shard = shard, term = owned.term, revision = owned.mark,
+        at_us = owned.taken.0, lease_until_us = lease_until.0;
+        "shard_taken"
+    );
+}
+
+/// A shard is not acted for any more.
+pub(super) fn shard_lost(shard: usize, owned: &OwnedShard, now: Micros, why: &str) {
+    log::info!(
+        target: TARGET,
+        shard = shard, term = owned.term, revision = owned.mark, at_us = now.0, reason = why;
+        "shard_lost"
+    );
+}
+
+/// A job was found to be over; revision 0 if a peer told of it.
+pub(super) fn job_over(job: &str, known: CachedStage) {
+    log::debug!(
+        target: TARGET,
+        job = job, job_stage:? = known.stage, revision = known.mark;
+        "job_over"
+    );
+}
+
+impl Controller {
+    /// A user is told that a job is done or cancelled.
+    pub(super) fn note_final_answer(&mut self, job: &str, known: CachedStage) {
+        if known.stage == StoredStage::Accepted {
+            return;
+        }
+        self.counts.decisions.final_answers += 1;
+        let followed = self.follow.get(&Watch::Jobs).map_or(0, |f| f.revision());
+        log::debug!(
+            target: TARGET,
+            job = job, job_stage:? = known.stage, revision = known.mark,
+            followed_revision = followed;
+            "final_answer"
+        );
+    }
+
+    /// Machines are asked for.
+    pub(super) fn note_rent(&mut self, request: &str, term: u64) {
+        self.counts.decisions.rent_requests += 1;
+        log::debug!(
+            target: TARGET,
+            request = request, shard = RENTING_SHARD, term = term,
+            lease_left_ms = self.state_lease.valid_until.since(self.now).as_millis();
+            "rent"
+        );
+    }
+
+    /// Machines are returned.
+    pub(super) fn note_return(&mut self, names: &[String]) {
+        self.counts.decisions.returned_machines += names.len() as u64;
+        let term = self.owned_term(RENTING_SHARD);
+        for name in names {
+            let machine = name.as_str();
+            let tasks = self.views.get(name).map_or(0, |view| view.tasks.len());
+            log::debug!(
+                target: TARGET,
+                machine = machine, shard = RENTING_SHARD, term:? = term, tasks = tasks;
+                "return"
+            );
+        }
+    }
+
+    /// A decision would break a rule: it is told with its evidence, and tests fail.
+    pub(super) fn report_violation(&mut self, machine: &str, right: ManagerRight, what: Violation) {
+        self.counts.decisions.violations += 1;
+        log::error!(
+            target: TARGET,
+            machine = machine, session = right.session,
+            shard = right.shard, term = right.term, token = right.token,
+            now_us = right.now.0, lease_until_us = right.lease_until.0,
+            cancellations_known = right.cancellations_known,
+            violation:? = what;
+            "violation"
+        );
+        debug_assert!(false, "{machine}: {what:?} under {right:?}");
+    }
+
+    /// A worker is shown a higher token from now on.
+    pub(super) fn note_raised_token(&mut self, machine: &str, right: ManagerRight, r: &Revocation) {
+        self.counts.decisions.raised_tokens += 1;
+        let beside = self.managed_machines.get(machine).map_or(0, ManagedMachine::present_count);
+        self.counts.decisions.tasks_beside_raises += beside as u64;
+        log::info!(
+            target: TARGET,
+            job = r.start.job.as_str(), task = r.start.index, attempt = r.start.attempt,
+            machine = machine, session = right.session,
+            shard = right.shard, term = right.term, token = right.token,
+            revoked_token = r.revoked_token, tasks_beside = beside,
+            reason:? = r.reason;
+            "raise_token"
+        );
+    }
+}
--- a/src/controller/direct_commands.rs
+++ b/src/controller/direct_commands.rs
@@ -1,7 +1,7 @@
 //! Commands sent straight to a worker, instead of with the answer to its next report.
 
 use super::machine::Key;
-use super::machine_commands::Way;
+use super::start_gate::Way;
 use super::{Controller, DirectReply, Effect, Op};
 use crate::time::Micros;
 use crate::wire::{Command, DirectCommands, Report};
@@ -15,11 +15,9 @@
     /// Sends what is new straight to the worker, instead of waiting for its
     /// next report.
     pub(super) fn push(&mut self, machine: &str) {
-        let s = self.shard_of_machine(machine);
-        let Some(term) = self.owned_term(s) else {
-            return;
-        };
-        let Some(managed) = self.managed_machines.get(machine) else {
+        let (Some(right), Some(managed)) =
+            (self.manager_right(machine), self.managed_machines.get(machine))
+        else {
             return;
         };
         // A worker that is silent is not waited for with further connections.
@@ -27,7 +25,7 @@
         if !managed.known || managed.direct_busy || quiet || self.now < managed.direct_after {
             return;
         }
-        let (Some(address), session) = (managed.address, managed.session) else {
+        let Some(address) = managed.address else {
             return;
         };
         let commands = self.commands(machine, Way::Direct);
@@ -44,9 +42,10 @@
         if let Some(managed) = self.managed_machines.get_mut(machine) {
             managed.direct_busy = true;
         }
-        let body = DirectCommands { token: term, session, commands };
+        let body = DirectCommands { token: right.token, session: right.session, commands };
         let body = serde_json::to_vec(&body).unwrap_or_default();
-        let id = self.call_id(Op::Direct { machine: machine.to_string(), starts, term });
+        let op = Op::Direct { machine: machine.to_string(), starts, term: right.term };
+        let id = self.call_id(op);
         self.out.push(Effect::Direct { id, address, body });
     }
 
@@ -72,6 +71,9 @@
             DirectReply::NotSent => (Some(false), None),
         };
         managed.direct_ended(starts, executed);
+        if executed.is_none() {
+            self.counts.decisions.unanswered_starts += starts.len() as u64;
+        }
         match executed {
             Some(true) => managed.unresponsive = false,
             Some(false) => {}
@@ -85,7 +87,8 @@
             managed.direct_after = now + DIRECT_PAUSE;
         }
         let report = body.and_then(|b| serde_json::from_slice::<Report>(&b).ok());
-        if let Some(report) = report.filter(|r| r.machine == machine && r.token <= term)
+        if let Some(report) =
+            report.filter(|r| r.machine == machine && Some(r.token) <= managed.token(term))
             && let Some(outcomes) = managed.take_report(now, &report, term, false)
         {
             self.note_outcomes(machine, outcomes);
--- a/src/controller/machine.rs
+++ b/src/controller/machine.rs
@@ -1,7 +1,9 @@
 //! What a machine's shard knows of it: its reports, what was sent, what may
 //! still be under way.
 
-use crate::peer::{DesiredTask, ObservedState, ObservedTask, Phase};
+use super::shard;
+use super::start_gate::StartRefusal;
+use crate::peer::{DesiredTask, ObservedState, ObservedTask};
 use crate::time::Micros;
 use crate::wire::{Cause, Command, Report, TaskState};
 use std::collections::{BTreeMap, BTreeSet};
@@ -54,12 +56,31 @@
     /// A direct command with it got no answer: it may be executed as long as
     /// token and session match.
     pub late: bool,
+    /// Token of the last direct command with it.
+    pub token: u64,
+}
+
+/// A start that may still arrive and must not be executed: the worker is shown a higher
+/// token than that of the command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Revocation {
+    /// The start.
+    pub start: Key,
+    /// Token that its command carries.
+    pub revoked_token: u64,
+    /// Why it must not be executed; `None` if nobody wants it any more.
+    pub reason: Option<StartRefusal>,
 }
 
 impl Sent {
     /// True if the worker may still begin it.
     pub fn open(self) -> bool {
-        self.answered || self.direct > 0 || self.late
+        self.answered || self.sent_directly()
+    }
+
+    /// True if a direct command with it may still arrive.
+    pub fn sent_directly(self) -> bool {
+        self.direct > 0 || self.late
     }
 }
 
@@ -94,8 +115,12 @@
     /// Starts that were sent and not reported yet.
     pub sent: BTreeMap<Key, Sent>,
     /// Attempts in reports that a direct command without an answer may still
-    /// start: clearing them would let that command start them again.
-    pub late: BTreeSet<Key>,
+    /// start, with its token: clearing them would let that command start them again.
+    pub late: BTreeMap<Key, u64>,
+    /// How often the token of its commands was raised above the term.
+    raises: u64,
+    /// Highest token that it has reported: no command with a lower one is executed.
+    seen_token: u64,
     /// Starts that found no room. They are never sent.
     pub refused: BTreeSet<Key>,
     /// Starts that wait for a stopping task's room.
@@ -170,6 +195,7 @@
             self.known = false;
         }
         self.seq = report.seq;
+        self.seen_token = self.seen_token.max(report.token);
         self.last_report = Some(now);
         self.vanished = false;
         self.machine_type.clone_from(&report.machine_type);
@@ -203,8 +229,8 @@
             if let Some(s) = self.sent.remove(&key) {
                 // It has what it was told to start.
                 self.unresponsive = false;
-                if s.late || s.direct > 0 {
-                    self.late.insert(key.clone());
+                if s.sent_directly() {
+                    self.late.insert(key.clone(), s.token);
                 }
             }
             self.refused.remove(&key);
@@ -212,7 +238,13 @@
             tasks.insert(key, observed);
         }
         self.tasks = tasks;
-        self.late.retain(|k| self.tasks.contains_key(k));
+        // This list was made after the worker had seen the token: what it lacks was not
+        // begun before, and commands with a lower one are not executed any more.
+        let seen = self.seen_token;
+        self.late.retain(|k, token| self.tasks.contains_key(k) && *token >= seen);
+        for s in self.sent.values_mut().filter(|s| s.token < seen) {
+            s.late = false;
+        }
         self.stops_sent.retain(|k| self.tasks.contains_key(k));
         if answerable {
             for s in self.sent.values_mut() {
@@ -222,6 +254,59 @@
         Some(outcomes)
     }
 
+    /// The token of its commands under a term; `None` if the term has no further ones.
+    pub fn token(&self, term: u64) -> Option<u64> {
+        shard::raised_token(term, self.raises)
+    }
+
+    /// A start that may still arrive by a direct command with the present token, though
+    /// `refusal` says that it must not be executed.
+    pub fn to_be_revoked(
+        &self,
+        token: u64,
+        refusal: impl Fn(&Key) -> Option<Option<StartRefusal>>,
+    ) -> Option<Revocation> {
+        let open = self.sent.iter().filter(|(_, s)| s.sent_directly() && s.token >= token);
+        for (key, sent) in open {
+            let Some(reason) = refusal(key) else {
+                continue;
+            };
+            // Commands under way mostly are answered within milliseconds; only what
+            // belongs to a job that is over cannot wait for that.
+            if sent.late || reason == Some(StartRefusal::JobOver) {
+                let start = key.clone();
+                return Some(Revocation { start, revoked_token: sent.token, reason });
+            }
+        }
+        None
+    }
+
+    /// Shows the worker a higher token from now on.
+    pub fn raise_token(&mut self) {
+        self.raises += 1;
+    }
+
+    /// All attempts of which something is known here.
+    pub fn attempts(&self) -> impl Iterator<Item = &Key> {
+        self.tasks.keys().chain(self.sent.keys()).chain(&self.refused).chain(&self.waiting)
+    }
+
+    /// Whether starts may still arrive by direct commands.
+    pub fn has_direct_starts(&self) -> bool {
+        self.sent.values().any(|sent| sent.sent_directly())
+    }
+
+    /// Starts that may still arrive by direct commands which the token does not outrank.
+    pub fn direct_starts(&self, token: u64) -> impl Iterator<Item = &Key> {
+        let open = move |sent: &Sent| sent.sent_directly() && sent.token >= token;
+        self.sent.iter().filter(move |(_, sent)| open(sent)).map(|(key, _)| key)
+    }
+
+    /// Tasks that it is known to have and that are not over.
+    pub fn present_count(&self) -> usize {
+        self.tasks.values().filter(|observed| !observed.over()).count()
+    }
+
     /// Judges, after a report was taken in, whether the machine receives answers;
     /// `before` is the session known until then.
     ///
@@ -289,7 +374,7 @@
         for key in starts {
             if let Some(s) = self.sent.get_mut(key) {
                 s.direct = s.direct.saturating_sub(1);
-                s.late |= executed.is_none();
+                s.late |= executed.is_none() && s.token >= self.seen_token;
             } else if executed.is_some() {
                 self.late.remove(key);
             }
@@ -309,22 +394,6 @@
     }
 }
 
-/// Whether a wanted task may be started under a term, its owner having known
-/// the term `known` of the machine's shard.
-///
-/// What is not written down yet could run beside another attempt that nobody
-/// remembers. What an earlier holder had refused its owner may have given up
-/// and begun elsewhere: the desired state must have been told knowing of this term, for
-/// then they say so.
-pub fn may_start(task: &DesiredTask, known: u64, term: u64) -> bool {
-    task.phase() == Phase::Wanted && task.stop_ms.is_none() && known >= term
-}
-
-/// A start.
-pub fn start(key: &Key) -> Command {
-    Command::Start { task: key.task(), attempt: key.attempt }
-}
-
 /// A stop.
 pub fn stop(key: &Key, grace: Micros) -> Command {
     Command::Stop { task: key.task(), attempt: key.attempt, grace_s: grace.as_secs_f64() }
--- a/src/controller/machine_reports.rs
+++ b/src/controller/machine_reports.rs
@@ -2,8 +2,8 @@
 
 use super::job::StoredStage;
 use super::machine::{self, MAX_NAME, Outcome};
-use super::machine_commands::Way;
 use super::shard::DRIFT;
+use super::start_gate::Way;
 use super::{Controller, Effect, Ticket};
 use crate::time::Micros;
 use crate::wire::{Refusal, Report, ReportReply, ReportTo};
@@ -63,7 +63,11 @@
             let lags = Refusal::new("cancellations are not heard");
             return self.respond(ticket, 503, Some(1), &lags);
         }
-        if report.token > term || self.terminated.contains(&report.machine) {
+        let shown =
+            self.managed_machines.get(&report.machine).map_or(Some(term), |m| m.token(term));
+        if shown.is_none_or(|shown| report.token > shown)
+            || self.terminated.contains(&report.machine)
+        {
             return self.respond(ticket, 503, Some(1), &Refusal::new("superseded"));
         }
         let now = self.now;
@@ -84,9 +88,16 @@
         managed.answered = Some(now);
         let known = managed.known;
         self.note_outcomes(&machine, outcomes);
+        self.revoke_starts(&machine);
         let commands = if known { self.commands(&machine, Way::Answer) } else { Vec::new() };
+        let Some(right) = self.manager_right(&machine) else {
+            // Its session ends, and with it what may still arrive.
+            return self.respond(ticket, 503, Some(1), &Refusal::new("no token is left"));
+        };
+        self.check_answer(&machine, right);
         self.changes.machines.insert(machine);
-        let body = serde_json::to_vec(&ReportReply { token: term, commands }).unwrap_or_default();
+        let reply = ReportReply { token: right.token, commands };
+        let body = serde_json::to_vec(&reply).unwrap_or_default();
         self.out.push(Effect::Respond { ticket, status: 200, retry_after: None, body });
     }
 
--- a/src/controller/probes.rs
+++ b/src/controller/probes.rs
@@ -71,8 +71,11 @@
         else {
             return;
         };
+        let Some(token) = managed.token(term) else {
+            return;
+        };
         managed.direct_busy = true;
-        let body = DirectCommands { token: term, session, commands: Vec::new() };
+        let body = DirectCommands { token, session, commands: Vec::new() };
         let body = serde_json::to_vec(&body).unwrap_or_default();
         let op = Op::Direct { machine: machine.to_string(), starts: Vec::new(), term };
         let id = self.call_id(op);
--- a/src/controller/renter.rs
+++ b/src/controller/renter.rs
@@ -125,6 +125,7 @@
         self.fleet.count += 1;
         // The term is this ownership's alone, so the name is, too.
         let request = format!("r-{RENTING_SHARD}-{term}-{}", self.fleet.count);
+        self.note_rent(&request, term);
         info!("renting {count} {machine_type} in {zone}, spot {spot}");
         self.fleet.request = Some(RentRequest { request, machine_type, zone, spot, count });
         self.send_rent(term);
@@ -185,6 +186,7 @@
         give.truncate(20);
         if !give.is_empty() {
             self.fleet.returning.extend(give.iter().cloned());
+            self.note_return(&give);
             self.cloud(Op::Return { names: give.clone() }, CloudCall::Return(give));
         }
     }
--- a/src/controller/shard.rs
+++ b/src/controller/shard.rs
@@ -13,6 +13,30 @@
 /// Parts per thousand that two steady clocks may differ, both ways together.
 pub const DRIFT: u64 = 1;
 
+/// Each take leaves so many terms out: they are the tokens that the holder may raise
+/// above its term, and the terms of earlier versions, which count by one.
+pub const TERM_STRIDE: u64 = 1 << 16;
+/// Tokens are raised from here on above the term. What lies between is left to earlier
+/// versions, whose next terms must not equal a token that was raised before.
+pub const FIRST_RAISED: u64 = TERM_STRIDE / 2;
+
+/// The term that follows: above all tokens that may have been shown under earlier ones.
+pub fn next_term(term: u64) -> u64 {
+    (term / TERM_STRIDE + 1).saturating_mul(TERM_STRIDE)
+}
+
+/// The token of a worker that has been shown so many higher ones under a term; `None` if
+/// the term has no further ones.
+pub fn raised_token(term: u64, raises: u64) -> Option<u64> {
+    match raises {
+        0 => Some(term),
+        _ => {
+            let token = term.checked_add(FIRST_RAISED.checked_add(raises)?)?;
+            (token < next_term(term)).then_some(token)
+        }
+    }
+}
+
 /// Value of `hold/S`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShardLease {
@@ -159,7 +183,7 @@
         run: u64,
         state_lease: u64,
     ) -> (Txn, u64) {
-        let term = self.term + 1;
+        let term = next_term(self.term);
         let lease = ShardLease { member: member.to_string(), run, term, state_lease };
         let txn = Txn {
             conditions: vec![
--- a/src/controller/shard_leases.rs
+++ b/src/controller/shard_leases.rs
@@ -3,7 +3,7 @@
 use super::shard::{self, OwnedShard, Shard};
 use super::shard_loading::Loading;
 use super::watches::prefix;
-use super::{Controller, Op, Watch};
+use super::{Controller, Op, Watch, decision_log};
 use crate::state::{StateCall, StateReply};
 use crate::time::Micros;
 use crate::wire::Item;
@@ -145,7 +145,7 @@
         let Some(owned) = self.shards[s].owned.take() else {
             return;
         };
-        info!("shard {s} term {} lost: {why}", owned.term);
+        decision_log::shard_lost(s, &owned, self.now, why);
         self.loads.remove(&s);
         // It is tried once more under the next term.
         self.unreadable.clear();
@@ -173,13 +173,13 @@
     }
 
     fn shard_taken(&mut self, s: usize, term: u64, mark: u64) {
-        info!("shard {s} taken, term {term}");
+        let owned = OwnedShard { term, mark, taken: self.now, loaded: false, releasing: false };
+        decision_log::shard_taken(s, &owned, self.state_lease.valid_until);
         let shard = &mut self.shards[s];
         shard.term = shard.term.max(term);
         shard.term_mark = shard.term_mark.max(mark);
         shard.acted = term;
-        shard.owned =
-            Some(OwnedShard { term, mark, taken: self.now, loaded: false, releasing: false });
+        shard.owned = Some(owned);
         let lease = shard::ShardLease {
             member: self.member.clone(),
             run: self.run,
--- a/src/controller/stage_cache.rs
+++ b/src/controller/stage_cache.rs
@@ -1,7 +1,7 @@
 //! What is known of jobs' stages from the state service.
 
-use super::Controller;
 use super::job::StoredStage;
+use super::{Controller, decision_log};
 use crate::wire::JobStage;
 
 /// Jobs whose terminal state is remembered in memory; older ones are read again.
@@ -30,6 +30,7 @@
             None => self.cached_order.push_back(job.to_string()),
         }
         if known.stage != StoredStage::Accepted {
+            decision_log::job_over(job, known);
             self.terminal_states.add(self.now, job, known.mark);
             self.pipelines.over(job);
         }
--- a/src/controller/status.rs
+++ b/src/controller/status.rs
@@ -1,6 +1,7 @@
 //! What the status page, the queue page and the log tell of the controller.
 
 use super::Controller;
+use super::decision_log::DecisionCounts;
 use super::frames::PeerInfo;
 use super::shard::Shard;
 use crate::peer::{self, MachineView};
@@ -58,6 +59,8 @@
     term: u64,
     owned: bool,
     loaded: bool,
+    /// Revision of the lease's key, on which all writes for the shard depend.
+    revision: Option<u64>,
 }
 
 impl<'a> ShardStatus<'a> {
@@ -68,6 +71,7 @@
             term: shard.term,
             owned: shard.owned.is_some(),
             loaded: shard.owned.as_ref().is_some_and(|owned| owned.loaded),
+            revision: shard.lease.as_ref().map(|(_, revision)| *revision),
         }
     }
 }
@@ -117,6 +121,7 @@
     pub(super) preempted: u64,
     pub(super) reports: u64,
     pub(super) bad_reports: u64,
+    pub(super) decisions: DecisionCounts,
 }
 
 impl Controller {
--- a/src/controller/terminal_states.rs
+++ b/src/controller/terminal_states.rs
@@ -77,11 +77,13 @@
                 }
                 UpstreamOutcome::Cancelled { settled: true } => {
                     let known = CachedStage { stage: StoredStage::Cancelled, ..known };
+                    self.note_final_answer(id, known);
                     let answer = self.job_answer(id, known);
                     return self.respond(ticket, status, None, &answer);
                 }
             }
         }
+        self.note_final_answer(id, known);
         let answer = self.job_answer(id, known);
         self.respond(ticket, status, None, &answer);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod controller;
 pub mod http;
+pub mod logging;
 pub mod peer;
 pub mod runtime;
 pub mod state;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,6 @@
 
 use clap::Parser;
 use millethold::config::{Config, Options};
-use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -25,9 +24,7 @@
     let args = Args::parse();
     env_logger::Builder::new()
         .parse_env(env_logger::Env::new().filter_or("LOG_LEVEL", "info"))
-        .format(|out, record| {
-            writeln!(out, "{} {}: {}", record.level(), record.target(), record.args())
-        })
+        .format(millethold::logging::write_line)
         .init();
     let loaded = Config::load(&args.config).and_then(|config| {
         let options = args.options.as_deref().map_or(Ok(Options::default()), Options::load)?;
--- a/tests/tables/machines.rs
+++ b/tests/tables/machines.rs
@@ -1,9 +1,15 @@
 //! What a machine's shard concludes from reports, and what it starts.
 
-use millethold::controller::machine::{Key, ManagedMachine, Sent, may_start};
-use millethold::peer::{DesiredTask, ObservedState, Phase};
+use millethold::controller::job::StoredStage;
+use millethold::controller::machine::{Key, ManagedMachine, Sent};
+use millethold::controller::shard::{TERM_STRIDE, next_term};
+use millethold::controller::start_gate::{
+    JobEvidence, ManagerRight, StartRefusal, StartViolation, Way,
+};
+use millethold::peer::{DesiredTask, ObservedState, Phase, Shape};
 use millethold::time::Micros;
 use millethold::wire::{Cause, Report, ReportedTask, TaskState};
+use std::rc::Rc;
 
 fn key(attempt: u64) -> Key {
     Key { job: "j-1".into(), index: 0, attempt }
@@ -55,19 +61,19 @@
 
     // A direct start without an answer stays open, and once it is reported
     // the attempt must not be cleared: the late command would start it anew.
-    post.sent.insert(key(2), Sent { direct: 1, ..Sent::default() });
+    post.sent.insert(key(2), Sent { direct: 1, token: 4, ..Sent::default() });
     post.direct_ended(&[key(2)], None);
     post.take_report(now, &report(1, 5, 4, &[]), 4, true);
     assert!(post.sent[&key(2)].open());
     let ended = [(2, TaskState::Exited, Some(Cause::Done))];
     post.take_report(now, &report(1, 6, 4, &ended), 4, true);
-    assert!(post.late.contains(&key(2)));
+    assert!(post.late.contains_key(&key(2)));
     // An answered one closes it.
-    post.sent.insert(key(3), Sent { direct: 1, ..Sent::default() });
+    post.sent.insert(key(3), Sent { direct: 1, token: 4, ..Sent::default() });
     let running = [(3, TaskState::Running, None)];
     post.take_report(now, &report(1, 7, 4, &running), 4, true);
     post.direct_ended(&[key(3)], Some(true));
-    assert!(!post.late.contains(&key(3)));
+    assert!(!post.late.contains_key(&key(3)));
 
     // A new session ends everything before it and fences what is late.
     post.take_report(now, &report(2, 1, 4, &[]), 4, true);
@@ -144,27 +150,137 @@
     }
 }
 
-#[test]
-fn starts() {
-    let task = |phase: Phase, stop_ms| DesiredTask {
-        phase: phase as i32,
+/// The rights of a manager under this term, towards a machine in its first session.
+fn manager(term: u64) -> ManagerRight {
+    ManagerRight {
+        now: Micros::secs(50),
+        shard: 0,
+        term,
+        token: term,
+        session: 1,
+        lease_until: Micros::secs(51),
+        cancellations_known: true,
+    }
+}
+
+fn wanted(phase: Phase, stop_ms: Option<u64>, session: u64) -> DesiredTask {
+    let key = key(2);
+    let shape = Shape { job: key.job, ..Shape::default() };
+    DesiredTask {
+        shape: Rc::new(shape),
+        attempt: key.attempt,
+        session,
         stop_ms,
+        phase: phase as i32,
         ..DesiredTask::default()
-    };
-    // Task, the term that its owner knew, the holder's term, whether it starts.
+    }
+}
+
+#[test]
+fn starts() {
+    use StartRefusal::*;
+    let stored = |stage| Some(JobEvidence { stage, revision: 7 });
+    let waits = stored(StoredStage::Accepted);
+    // Task, the term that its owner knew, its job, why it does not start.
+    let table = [
+        (wanted(Phase::Wanted, None, 1), 4, waits, None),
+        (wanted(Phase::Wanted, None, 1), 5, None, None),
+        (wanted(Phase::Wanted, None, 1), 3, waits, Some(OwnerUnaware)),
+        (wanted(Phase::Wanted, None, 1), 0, waits, Some(OwnerUnaware)),
+        (wanted(Phase::Wanted, Some(0), 1), 4, waits, Some(ToBeStopped)),
+        (wanted(Phase::Ahead, None, 1), 4, waits, Some(NotWanted)),
+        (wanted(Phase::Over, None, 1), 4, waits, Some(NotWanted)),
+        (wanted(Phase::Wanted, None, 2), 4, waits, Some(OtherSession)),
+        (wanted(Phase::Wanted, None, 1), 4, stored(StoredStage::Cancelled), Some(JobOver)),
+        (wanted(Phase::Wanted, None, 1), 4, stored(StoredStage::Done), Some(JobOver)),
+        // A phase of a later version must not read as one that starts.
+        (DesiredTask { phase: 77, ..wanted(Phase::Wanted, None, 1) }, 4, waits, Some(NotWanted)),
+    ];
+    for (task, known, job, want) in table {
+        let got = manager(4).examine(&task, known, job);
+        assert_eq!(got.err(), want, "{task:?} {known} {job:?}");
+    }
+    let blind = ManagerRight { cancellations_known: false, ..manager(4) };
+    let task = wanted(Phase::Wanted, None, 1);
+    assert_eq!(blind.examine(&task, 4, waits).err(), Some(CancellationsUnknown));
+}
+
+/// What a right is used for must be what it was given for, by one who still may act.
+#[test]
+fn violations_of_a_right() {
+    use StartViolation::*;
+    let over = ManagerRight { now: Micros::secs(51), ..manager(4) };
+    let low = ManagerRight { token: 3, ..manager(4) };
+    let table = [
+        ("as it should be", manager(4), key(2), None),
+        ("past the lease", over, key(2), Some(LeaseOver)),
+        ("a token that fences nothing", low, key(2), Some(TokenBelowTerm)),
+        ("another attempt", manager(4), key(3), Some(OtherTask)),
+    ];
+    let task = wanted(Phase::Wanted, None, 1);
+    for (name, manager, used_for, want) in table {
+        let right = manager.examine(&task, 4, None).expect("nothing is known against it");
+        assert_eq!(right.command("vm-1", &used_for, Way::Direct).err(), want, "{name}");
+    }
+}
+
+/// Which starts are made harmless by a higher token, and that they then are.
+#[test]
+fn revoked_starts() {
+    use StartRefusal::*;
+    let direct = Sent { direct: 1, token: 4, ..Sent::default() };
+    let late = Sent { late: true, token: 4, ..Sent::default() };
+    let answered = Sent { answered: true, ..Sent::default() };
+    // How it was sent, why it must not be executed, whether the token is raised.
     let table = [
-        (task(Phase::Wanted, None), 4, 4, true),
-        (task(Phase::Wanted, None), 5, 4, true),
-        (task(Phase::Wanted, None), 3, 4, false),
-        (task(Phase::Wanted, None), 0, 1, false),
-        (task(Phase::Wanted, Some(0)), 4, 4, false),
-        (task(Phase::Ahead, None), 4, 4, false),
-        (task(Phase::Over, None), 4, 4, false),
+        (direct, Some(Some(JobOver)), true),
+        (late, Some(Some(JobOver)), true),
+        // It mostly is answered within milliseconds.
+        (direct, Some(Some(ToBeStopped)), false),
+        (late, Some(Some(ToBeStopped)), true),
+        (late, Some(None), true),
+        (late, None, false),
+        // The worker drops late answers.
+        (answered, Some(Some(JobOver)), false),
+        // Commands with this token are refused already.
+        (Sent { token: 3, ..late }, Some(Some(JobOver)), false),
     ];
-    for (task, known, term, want) in table {
-        assert_eq!(may_start(&task, known, term), want, "{task:?} {known} {term}");
+    for (sent, refusal, want) in table {
+        let mut post = ManagedMachine::default();
+        post.sent.insert(key(1), sent);
+        let revoked = post.to_be_revoked(4, |_| refusal);
+        assert_eq!(revoked.is_some(), want, "{sent:?} {refusal:?}");
+    }
+
+    // Only what the worker itself says shows that it has the higher token.
+    let now = Micros::secs(50);
+    let term = next_term(4);
+    let mut post = ManagedMachine::default();
+    assert!(post.take_report(now, &report(1, 1, term, &[]), term, true).is_some());
+    post.sent.insert(key(1), Sent { late: true, token: term, ..Sent::default() });
+    post.raise_token();
+    let raised = post.token(term).expect("the first of many");
+    assert!(raised > term && raised < next_term(term));
+    post.take_report(now, &report(1, 2, term, &[]), term, true);
+    assert!(post.sent[&key(1)].open(), "the answer may have been lost");
+    post.take_report(now, &report(1, 3, raised, &[]), term, true);
+    assert!(!post.sent[&key(1)].open());
+    // A command of before that is given up now cannot be late any more, another can.
+    for (number, token, want) in [(2, term, false), (3, raised, true)] {
+        post.sent.insert(key(number), Sent { direct: 1, token, ..Sent::default() });
+        post.direct_ended(&[key(number)], None);
+        assert_eq!(post.sent[&key(number)].open(), want, "token {token}");
+    }
+    // An attempt that is listed may be cleared once its late start is harmless.
+    let ended = [(3, TaskState::Exited, Some(Cause::Done))];
+    post.take_report(now, &report(1, 4, raised, &ended), term, true);
+    assert!(post.late.contains_key(&key(3)));
+    post.raise_token();
+    post.take_report(now, &report(1, 5, raised + 1, &ended), term, true);
+    assert!(!post.late.contains_key(&key(3)));
+    // A term has no tokens without end, and none is another term's.
+    for _ in 0..TERM_STRIDE {
+        post.raise_token();
     }
-    // A phase of a later version must not read as one that starts.
-    let strange = DesiredTask { phase: 77, ..DesiredTask::default() };
-    assert!(!may_start(&strange, 4, 4));
+    assert_eq!(post.token(term), None);
 }
--- a/tests/tables/shards.rs
+++ b/tests/tables/shards.rs
@@ -39,7 +39,22 @@
     s.observe_lease(Micros::secs(9), None);
     assert_eq!(s.free_since, Micros::secs(9));
     let (txn, term) = s.take(0, 0, "a", 7, 12);
-    assert_eq!(term, 5, "a term only rises");
+    assert_eq!(term, shard::TERM_STRIDE, "a term only rises");
+    assert_eq!(shard::next_term(u64::MAX), u64::MAX, "a damaged term is no panic");
+    // Terms of this version, and of earlier ones, which count by one: the next is above
+    // all tokens that may have been shown under them.
+    for before in [0, 4, term, term + 1, term + 900] {
+        let next = shard::next_term(before);
+        assert!(next > before, "{before}");
+        for raises in [0, 1, 2, shard::FIRST_RAISED - 2, shard::FIRST_RAISED, u64::MAX] {
+            let token = shard::raised_token(next, raises);
+            let fits = |t: u64| t >= next && t < shard::next_term(next);
+            assert!(token.is_none_or(fits), "{before}: {token:?}");
+            // A few takes by earlier versions do not reach what was raised.
+            assert!(raises == 0 || token.is_none_or(|t| t > next + 1_000), "{token:?}");
+        }
+        assert_eq!(shard::raised_token(next, shard::FIRST_RAISED), None, "{before}");
+    }
     let versions: Vec<u64> = txn.conditions.iter().map(|c| c.version).collect();
     assert_eq!(versions, [0, 40], "both keys are conditions");
     assert!(matches!(&txn.writes[0], Write::Put { lease: Some(12), .. }));
