--- /dev/null
+++ b/crates/rehearsal/src/faults.rs
@@ -0,0 +1,220 @@
+//! What goes wrong in a run, drawn by its seed.
+
+use millethold::time::Micros;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use serde::Serialize;
+use std::fmt;
+
+/// Nothing goes wrong before this.
+const QUIET: Micros = Micros::secs(3);
+/// Between the beginnings of two groups of faults.
+const GROUP_EVERY: (u64, u64) = (4_000, 8_000);
+/// How long a fault lasts.
+const LASTS: (u64, u64) = (800, 9_000);
+/// Direct commands are held for so long: also for longer than a cancellation has.
+const HELD_COMMANDS: (u64, u64) = (1_000, 40_000);
+/// Copies of reports come so much later.
+pub const LATE_REPORTS: (u64, u64) = (500, 20_000);
+/// Transactions without an answer are carried out so much later.
+pub const LATE_WRITES: (u64, u64) = (300, 9_000);
+
+/// Some of the workers: those whose number leaves this rest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct SomeWorkers {
+    /// Divisor.
+    pub of: usize,
+    /// Rest.
+    pub rest: usize,
+}
+
+impl SomeWorkers {
+    /// Whether a worker is one of them.
+    pub fn has(self, worker: usize) -> bool {
+        worker % self.of.max(1) == self.rest
+    }
+}
+
+/// What becomes of messages on a link that is cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cut {
+    /// They are held, and delivered in order afterwards.
+    Held,
+    /// Connections are reset.
+    Reset,
+}
+
+/// A fault.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "fault")]
+pub enum Fault {
+    /// A controller's process is killed, and back after so long.
+    Kill { controller: usize, back: Micros },
+    /// All are.
+    KillAll { back: Micros },
+    /// One after the other, whoever leads.
+    KillInTurn { pause: Micros, back: Micros },
+    /// A controller's process stands still.
+    Pause { controller: usize },
+    /// A controller and its peers are out of each other's reach.
+    CutPeers { controller: usize, cut: Cut },
+    /// What one controller sends another does not arrive; the other way is open.
+    CutOneWay { from: usize, to: usize },
+    /// A controller and the state service are.
+    CutState { controller: usize, cut: Cut },
+    /// The state service refuses a controller.
+    RefuseOne { controller: usize },
+    /// It refuses all.
+    RefuseAll,
+    /// It answers late, by up to so much.
+    SlowState { by: Micros },
+    /// Of some transactions nobody hears, and they are carried out late.
+    LateWrites { percent: u32 },
+    /// Of some transactions only the answer is lost.
+    LostAnswers { percent: u32 },
+    /// A controller and all workers are out of each other's reach.
+    CutWorkers { controller: usize, cut: Cut },
+    /// These workers are out of every controller's reach.
+    CutSome { workers: SomeWorkers, cut: Cut },
+    /// Answers and commands do not reach these workers.
+    Deaf { workers: SomeWorkers },
+    /// Reports of these workers do not arrive.
+    Mute { workers: SomeWorkers },
+    /// These machines hang, and go on afterwards.
+    Hang { workers: SomeWorkers },
+    /// Some direct commands are held, while reports go on.
+    HeldCommands { percent: u32, least: Micros, most: Micros },
+    /// Of some reports a copy comes later, at any controller.
+    LateReports { percent: u32 },
+    /// All messages take longer, by up to so much.
+    SlowLinks { by: Micros },
+    /// Users do not reach a controller.
+    CutUsers { controller: usize },
+    /// The cloud refuses all calls.
+    CloudAway,
+    /// The cloud takes some machines.
+    TakeMachines { workers: SomeWorkers },
+    /// Users call off many running jobs at once.
+    CancelMany { count: usize },
+}
+
+/// A fault, and when it is there.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct PlannedFault {
+    /// When it begins.
+    pub at: Micros,
+    /// When it is over.
+    pub until: Micros,
+    /// What it is.
+    #[serde(flatten)]
+    pub fault: Fault,
+}
+
+impl PlannedFault {
+    /// Whether it is there at this time.
+    pub fn active(&self, now: Micros) -> bool {
+        self.at <= now && now < self.until
+    }
+
+    /// When its last consequence is over: what it held has arrived, who was killed is back.
+    pub fn settled(&self, controllers: usize) -> Micros {
+        match self.fault {
+            Fault::Kill { back, .. } | Fault::KillAll { back } => self.until + back,
+            Fault::KillInTurn { pause, back } => {
+                self.at + Micros(pause.0 * controllers as u64) + back
+            }
+            Fault::HeldCommands { most, .. } => self.until + most,
+            Fault::LateReports { .. } => self.until + Micros::millis(LATE_REPORTS.1),
+            Fault::LateWrites { .. } => self.until + Micros::millis(LATE_WRITES.1),
+            _ => self.until,
+        }
+    }
+}
+
+impl fmt::Display for PlannedFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (at, until) = (self.at.as_secs_f64(), self.until.as_secs_f64());
+        write!(f, "{at:6.1} to {until:6.1}: {:?}", self.fault)
+    }
+}
+
+/// Draws groups of two or three faults that overlap, over so much time.
+pub fn draw_faults(rng: &mut StdRng, over: Micros, controllers: usize) -> Vec<PlannedFault> {
+    let mut faults = Vec::new();
+    let mut group = QUIET;
+    while group < over {
+        for _ in 0..rng.random_range(2..=3) {
+            let at = group + Micros::millis(rng.random_range(0..2_500));
+            let lasts = Micros::millis(rng.random_range(LASTS.0..LASTS.1));
+            let fault = draw_fault(rng, controllers);
+            faults.push(PlannedFault { at, until: at + lasts, fault });
+        }
+        group += Micros::millis(rng.random_range(GROUP_EVERY.0..GROUP_EVERY.1));
+    }
+    faults.sort_by_key(|fault| fault.at);
+    faults
+}
+
+fn draw_cut(rng: &mut StdRng) -> Cut {
+    if rng.random() { Cut::Held } else { Cut::Reset }
+}
+
+fn draw_workers(rng: &mut StdRng) -> SomeWorkers {
+    let of = rng.random_range(2..6);
+    SomeWorkers { of, rest: rng.random_range(0..of) }
+}
+
+/// A time until a process is back: often a fraction of a second.
+fn draw_back(rng: &mut StdRng) -> Micros {
+    Micros::millis(match rng.random_range(0..3) {
+        0 => rng.random_range(20..400),
+        1 => rng.random_range(400..3_000),
+        _ => rng.random_range(3_000..9_000),
+    })
+}
+
+fn draw_fault(rng: &mut StdRng, controllers: usize) -> Fault {
+    let controller = rng.random_range(0..controllers);
+    let other = (controller + 1 + rng.random_range(0..controllers.max(2) - 1)) % controllers;
+    match rng.random_range(0..27) {
+        0 | 1 => Fault::Kill { controller, back: draw_back(rng) },
+        2 => Fault::KillAll { back: draw_back(rng) },
+        3 => {
+            let pause = Micros::millis(rng.random_range(500..2_500));
+            Fault::KillInTurn { pause, back: draw_back(rng) }
+        }
+        4 | 5 => Fault::Pause { controller },
+        6 => Fault::CutPeers { controller, cut: draw_cut(rng) },
+        7 => Fault::CutOneWay { from: controller, to: other },
+        8 => Fault::CutState { controller, cut: draw_cut(rng) },
+        9 | 10 => Fault::RefuseOne { controller },
+        11 => Fault::RefuseAll,
+        12 => Fault::SlowState { by: Micros::millis(rng.random_range(50..1_500)) },
+        13 => Fault::LateWrites { percent: rng.random_range(5..40) },
+        14 => Fault::LostAnswers { percent: rng.random_range(5..40) },
+        15 => Fault::CutWorkers { controller, cut: draw_cut(rng) },
+        16 => Fault::CutSome { workers: draw_workers(rng), cut: draw_cut(rng) },
+        17 => Fault::Deaf { workers: draw_workers(rng) },
+        18 => Fault::Mute { workers: draw_workers(rng) },
+        19 => Fault::Hang { workers: draw_workers(rng) },
+        20 | 21 => {
+            let least = rng.random_range(HELD_COMMANDS.0..HELD_COMMANDS.1);
+            let most = rng.random_range(least..=HELD_COMMANDS.1);
+            let percent = rng.random_range(20..90);
+            Fault::HeldCommands {
+                percent,
+                least: Micros::millis(least),
+                most: Micros::millis(most),
+            }
+        }
+        22 => Fault::LateReports { percent: rng.random_range(5..40) },
+        23 => Fault::SlowLinks { by: Micros::millis(rng.random_range(20..400)) },
+        24 => Fault::CutUsers { controller },
+        25 => match rng.random() {
+            true => Fault::CloudAway,
+            false => Fault::TakeMachines { workers: SomeWorkers { of: 9, rest: 4 } },
+        },
+        _ => Fault::CancelMany { count: rng.random_range(4..20) },
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/jobs.rs
@@ -0,0 +1,177 @@
+//! The users' jobs: what they are, when they are handed in and when they are called off.
+
+use crate::settings::{TEAMS, ZONES};
+use millethold::time::Micros;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, RngExt};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Jobs a second at most, however many workers there are.
+const MOST_JOBS_PER_SECOND: f64 = 8.0;
+/// Workers for each job a second below that.
+const WORKERS_PER_JOB: f64 = 8.0;
+/// Parts of the jobs that are of a kind, in percent.
+const CALLED_OFF: u32 = 30;
+const WITH_UPSTREAM: u32 = 15;
+const WITH_MISTAKE: u32 = 4;
+const BOUND_TO_ZONE: u32 = 12;
+const TOGETHER: u32 = 6;
+const APART: u32 = 6;
+const SAVING: u32 = 20;
+
+/// A job as its user plans it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct JobPlan {
+    /// Id.
+    pub id: String,
+    /// Team, by its place in [`TEAMS`].
+    pub team: usize,
+    /// Tasks.
+    pub tasks: u32,
+    /// CPUs of each.
+    pub cpus: f64,
+    /// How long each runs.
+    pub runs: Micros,
+    /// How urgent it is.
+    pub urgency: &'static str,
+    /// Its image.
+    pub image: String,
+    /// The only allowed zone.
+    pub zone: Option<&'static str>,
+    /// All tasks in one zone.
+    pub together: bool,
+    /// At most half of the tasks in a zone.
+    pub apart: bool,
+    /// May use spot machines.
+    pub spot: bool,
+    /// Time that a task needs to save; zero if it cannot.
+    pub saves: Micros,
+    /// It fails wherever it runs.
+    pub mistake: bool,
+    /// Jobs that have to be done first.
+    pub upstream: Vec<String>,
+    /// When it is handed in.
+    pub submit_at: Micros,
+    /// When its user calls it off.
+    pub cancel_at: Option<Micros>,
+}
+
+impl JobPlan {
+    /// The body of its submission.
+    pub fn submission(&self) -> Value {
+        let mut body = json!({
+            "ref": self.id, "grade": self.urgency, "crew": TEAMS[self.team].name,
+            "cut": "batch", "urgency": self.urgency, "planks": self.tasks,
+            "cpus": self.cpus, "gpus": 0.0, "ramGb": 2.0 * self.cpus,
+            "pattern": self.image, "pullGb": 0.3, "benches": null, "yard": self.zone,
+            "together": self.together, "apart": self.apart, "loaners": self.spot,
+            "expectedS": self.runs.as_secs_f64(),
+            "notchS": if self.saves > Micros::ZERO { 2.0 } else { 0.0 },
+            "stackS": self.saves.as_secs_f64(), "dueS": null,
+        });
+        if !self.upstream.is_empty() {
+            body["upstream"] = json!(self.upstream);
+        }
+        body
+    }
+}
+
+/// All jobs of a run.
+#[derive(Debug, Clone, Default)]
+pub struct Jobs {
+    /// By id.
+    pub plans: BTreeMap<String, JobPlan>,
+}
+
+/// Draws the jobs that users hand in over so much time.
+pub fn draw_jobs(rng: &mut StdRng, over: Micros, workers: usize) -> Jobs {
+    let rate = (workers as f64 / WORKERS_PER_JOB).clamp(1.0, MOST_JOBS_PER_SECOND);
+    let count = (over.as_secs_f64() * rate) as usize;
+    let mut jobs = Jobs::default();
+    let mut ids: Vec<String> = Vec::new();
+    let mut taken = BTreeSet::new();
+    for number in 0..count {
+        let id = loop {
+            let id = format!("j-{:06}", rng.random_range(0..1_000_000));
+            if taken.insert(id.clone()) {
+                break id;
+            }
+        };
+        let at = over.as_secs_f64() * number as f64 / count as f64;
+        let upstream = draw_upstream(rng, &ids);
+        let plan = draw_job(rng, id.clone(), Micros::from_secs_f64(at), workers, upstream);
+        jobs.plans.insert(id.clone(), plan);
+        ids.push(id);
+    }
+    jobs
+}
+
+/// Whether something of that chance, in percent, happens.
+fn chance(rng: &mut impl Rng, percent: u32) -> bool {
+    rng.random_range(0..100) < percent
+}
+
+/// One or two of the last jobs, for some.
+fn draw_upstream(rng: &mut StdRng, ids: &[String]) -> Vec<String> {
+    if ids.len() < 4 || !chance(rng, WITH_UPSTREAM) {
+        return Vec::new();
+    }
+    let recent = &ids[ids.len().saturating_sub(8)..];
+    let count = rng.random_range(1..=2);
+    recent.sample(rng, count).cloned().collect()
+}
+
+fn draw_job(
+    rng: &mut StdRng,
+    id: String,
+    submit_at: Micros,
+    workers: usize,
+    upstream: Vec<String>,
+) -> JobPlan {
+    let largest = (workers / 4).clamp(4, 60) as u32;
+    let tasks = match rng.random_range(0..10) {
+        0..5 => rng.random_range(1..=2),
+        5..9 => rng.random_range(2..=8),
+        _ => rng.random_range(8..=largest.max(9)),
+    };
+    let cpus = [1.0, 1.0, 2.0, 4.0][rng.random_range(0..4)];
+    let runs = match rng.random_range(0..5) {
+        0..3 => Micros::millis(rng.random_range(400..3_000)),
+        3 => Micros::millis(rng.random_range(3_000..8_000)),
+        _ => Micros::millis(rng.random_range(8_000..16_000)),
+    };
+    let mistake = chance(rng, WITH_MISTAKE);
+    // Most are called off soon, while their first starts are on their way.
+    let soon = rng.random_range(0..3) > 0;
+    let wait = Micros::millis(if soon {
+        rng.random_range(50..2_500)
+    } else {
+        rng.random_range(2_500..12_000)
+    });
+    let called_off = mistake || chance(rng, CALLED_OFF);
+    let zone_bound = chance(rng, BOUND_TO_ZONE);
+    let shape = rng.random_range(0..100);
+    JobPlan {
+        id,
+        team: [0, 1, 1, 2, 2, 2][rng.random_range(0..6)],
+        tasks,
+        cpus,
+        runs,
+        urgency: ["low", "standard", "standard", "high", "production"][rng.random_range(0..5)],
+        image: format!("img-{:02}", rng.random_range(0..12)),
+        zone: zone_bound.then(|| ZONES[rng.random_range(0..ZONES.len())]),
+        together: !zone_bound && shape < TOGETHER,
+        apart: !zone_bound && (TOGETHER..TOGETHER + APART).contains(&shape),
+        spot: rng.random_range(0..3) > 0,
+        saves: match chance(rng, SAVING) {
+            true => Micros::millis(rng.random_range(200..1_000)),
+            false => Micros::ZERO,
+        },
+        mistake,
+        upstream,
+        submit_at,
+        cancel_at: called_off.then_some(submit_at + wait),
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,32 @@
+//! The rehearsal kit: real processes of the service over loopback, stand-ins of everything
+//! that they talk to, and faults drawn by a seed.
+//!
+//! Nothing is taken from the service's own word: what the protocol forbids is found in the
+//! [`history`] of what workers and users saw, by the [`rules`].
+//!
+//! - [`options`], [`settings`], [`addresses`]: what is asked for, and what the processes are told;
+//! - [`net`], [`relay`]: sockets on one event loop, and the links between controllers;
+//! - [`faults`], [`links`]: what goes wrong when, and what it does to a message;
+//! - [`state_service`], [`state_calls`], [`cloud`], [`worker`], [`jobs`]: the stand-ins, which know no sockets;
+//! - [`world`] and what belongs to it: one run, in which all of these meet;
+//! - [`process`]: the controllers' processes;
+//! - [`history`], [`rules`], [`report`], [`soak`]: what was seen, what it breaks, what is told of it.
+
+mod addresses;
+mod cloud;
+mod faults;
+pub mod history;
+mod jobs;
+mod links;
+mod net;
+pub mod options;
+mod process;
+mod relay;
+pub mod report;
+pub mod rules;
+mod settings;
+pub mod soak;
+mod state_calls;
+mod state_service;
+mod worker;
+mod world;
--- /dev/null
+++ b/crates/rehearsal/src/links.rs
@@ -0,0 +1,210 @@
+//! What becomes of a message on its way, by the faults that are there.
+
+use crate::faults::{Cut, Fault, LATE_WRITES, PlannedFault};
+use millethold::time::Micros;
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+/// After the end of a cut what it held arrives this much later.
+const AFTER_CUT: Micros = Micros::millis(3);
+
+/// A way between two parties.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Link {
+    /// Users to a controller.
+    User {
+        /// The controller.
+        controller: usize,
+    },
+    /// A controller to the state service.
+    State {
+        /// The controller.
+        controller: usize,
+    },
+    /// A controller to the cloud.
+    Cloud {
+        /// The controller.
+        controller: usize,
+    },
+    /// A worker's reports.
+    Report {
+        /// The worker.
+        worker: usize,
+        /// The controller.
+        controller: usize,
+    },
+    /// Direct commands.
+    Command {
+        /// The worker.
+        worker: usize,
+        /// The controller.
+        controller: usize,
+    },
+    /// One controller to another.
+    Peer {
+        /// Who sends.
+        from: usize,
+        /// Who receives.
+        to: usize,
+    },
+}
+
+/// Whether a message is a request, or an answer to one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Direction {
+    /// From who connected.
+    Request,
+    /// To who connected.
+    Answer,
+}
+
+/// What becomes of a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Passage {
+    /// It arrives at this time.
+    At(Micros),
+    /// It does not arrive, and nobody is told.
+    Lost,
+    /// Its connection is reset.
+    Reset,
+}
+
+/// What becomes of a call to the state service beside its way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Service {
+    /// It is carried out and answered.
+    Served,
+    /// It is refused.
+    Refused,
+    /// It is carried out; its answer is lost.
+    AnswerLost,
+    /// It is carried out at this time, and never answered.
+    Late(Micros),
+}
+
+/// What becomes of a message that is sent now.
+pub fn pass(
+    faults: &[PlannedFault],
+    rng: &mut StdRng,
+    now: Micros,
+    link: Link,
+    direction: Direction,
+) -> Passage {
+    let mut at = now;
+    for planned in faults.iter().filter(|planned| planned.active(now)) {
+        match effect(rng, &planned.fault, link, direction) {
+            Effect::None => {}
+            Effect::Later(by) => at = at.max(now + by),
+            Effect::Cut(Cut::Held) => at = at.max(planned.until + AFTER_CUT),
+            Effect::Cut(Cut::Reset) => return Passage::Reset,
+            Effect::Lost => return Passage::Lost,
+        }
+    }
+    Passage::At(at)
+}
+
+/// What one fault does to a message.
+enum Effect {
+    None,
+    Later(Micros),
+    Cut(Cut),
+    Lost,
+}
+
+fn up_to(rng: &mut StdRng, most: Micros) -> Micros {
+    Micros(rng.random_range(0..=most.0))
+}
+
+fn effect(rng: &mut StdRng, fault: &Fault, link: Link, direction: Direction) -> Effect {
+    let worker_link = match link {
+        Link::Report { worker, controller } | Link::Command { worker, controller } => {
+            Some((worker, controller))
+        }
+        _ => None,
+    };
+    match *fault {
+        Fault::SlowLinks { by } => Effect::Later(up_to(rng, by)),
+        Fault::SlowState { by } if matches!(link, Link::State { .. }) => {
+            Effect::Later(up_to(rng, Micros(by.0 / 2)))
+        }
+        Fault::CutPeers { controller, cut } => match link {
+            Link::Peer { from, to } if from == controller || to == controller => Effect::Cut(cut),
+            _ => Effect::None,
+        },
+        Fault::CutOneWay { from, to } if link == (Link::Peer { from, to }) => {
+            Effect::Cut(Cut::Held)
+        }
+        Fault::CutState { controller, cut } if link == (Link::State { controller }) => {
+            Effect::Cut(cut)
+        }
+        Fault::CutUsers { controller } if link == (Link::User { controller }) => {
+            Effect::Cut(Cut::Reset)
+        }
+        Fault::CutWorkers { controller, cut } => match worker_link {
+            Some((_, of)) if of == controller => Effect::Cut(cut),
+            _ => Effect::None,
+        },
+        Fault::CutSome { workers, cut } => match worker_link {
+            Some((worker, _)) if workers.has(worker) => Effect::Cut(cut),
+            _ => Effect::None,
+        },
+        Fault::Deaf { workers } => match (link, direction) {
+            (Link::Report { worker, .. }, Direction::Answer)
+            | (Link::Command { worker, .. }, Direction::Request)
+                if workers.has(worker) =>
+            {
+                Effect::Lost
+            }
+            _ => Effect::None,
+        },
+        Fault::Mute { workers } => match link {
+            Link::Report { worker, .. } if workers.has(worker) => Effect::Cut(Cut::Reset),
+            _ => Effect::None,
+        },
+        Fault::HeldCommands { percent, least, most } => match (link, direction) {
+            (Link::Command { .. }, Direction::Request) if rng.random_range(0..100) < percent => {
+                Effect::Later(Micros(rng.random_range(least.0..=most.0)))
+            }
+            _ => Effect::None,
+        },
+        _ => Effect::None,
+    }
+}
+
+/// What the state service does with a call of a controller; `changes` says that it
+/// changes what is stored.
+pub fn serve(
+    faults: &[PlannedFault],
+    rng: &mut StdRng,
+    now: Micros,
+    controller: usize,
+    changes: bool,
+) -> Service {
+    for planned in faults.iter().filter(|planned| planned.active(now)) {
+        match planned.fault {
+            Fault::RefuseAll => return Service::Refused,
+            Fault::RefuseOne { controller: refused } if refused == controller => {
+                return Service::Refused;
+            }
+            Fault::LateWrites { percent } if changes && rng.random_range(0..100) < percent => {
+                let by = rng.random_range(LATE_WRITES.0..LATE_WRITES.1);
+                return Service::Late(now + Micros::millis(by));
+            }
+            Fault::LostAnswers { percent } if changes && rng.random_range(0..100) < percent => {
+                return Service::AnswerLost;
+            }
+            _ => {}
+        }
+    }
+    Service::Served
+}
+
+/// Whether the state service refuses a controller at present.
+pub fn refused(faults: &[PlannedFault], now: Micros, controller: usize) -> bool {
+    let refuses = |fault: &Fault| match fault {
+        Fault::RefuseAll => true,
+        Fault::RefuseOne { controller: refused } => *refused == controller,
+        _ => false,
+    };
+    faults.iter().any(|planned| planned.active(now) && refuses(&planned.fault))
+}
--- /dev/null
+++ b/crates/rehearsal/src/main.rs
@@ -0,0 +1,114 @@
+//! The program: `millethold-rehearsal soak`.
+
+use clap::{Args, Parser, Subcommand};
+use millethold_rehearsal::options::SoakOptions;
+use millethold_rehearsal::report::SoakReport;
+use millethold_rehearsal::soak;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// Name of the service's program, beside this one.
+const SERVICE: &str = "millethold";
+
+/// Rehearses failures with real processes of the service on this machine.
+#[derive(Parser)]
+#[command(version, about)]
+struct Arguments {
+    #[command(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// Plays runs with faults drawn by their seeds, and checks the protocol's rules by what
+    /// workers and users see.
+    Soak(SoakArguments),
+}
+
+#[derive(Args)]
+struct SoakArguments {
+    /// Number of runs.
+    #[arg(long, default_value_t = 10)]
+    seeds: u64,
+    /// Seed of the first run; the others follow it.
+    #[arg(long, default_value_t = 1)]
+    first_seed: u64,
+    /// Seconds of faults in each run; what they hold back is waited for.
+    #[arg(long, default_value_t = 25)]
+    seconds: u64,
+    /// Workers at the start of each run; drawn by its seed if left out.
+    #[arg(long)]
+    workers: Option<usize>,
+    /// Controllers.
+    #[arg(long, default_value_t = 3)]
+    controllers: usize,
+    /// Runs beside each other.
+    #[arg(long, default_value_t = 1)]
+    parallel: usize,
+    /// The service's program; the one beside this program if left out.
+    #[arg(long, value_name = "FILE")]
+    binary: Option<PathBuf>,
+    /// Where the report is written as JSON.
+    #[arg(long, value_name = "FILE")]
+    report: Option<PathBuf>,
+    /// Folder in which logs and histories of failed runs are kept.
+    #[arg(long, value_name = "FOLDER")]
+    keep: Option<PathBuf>,
+}
+
+impl SoakArguments {
+    fn options(self) -> SoakOptions {
+        let beside = || {
+            let here = std::env::current_exe().ok();
+            let folder = here.as_deref().and_then(Path::parent).map(Path::to_path_buf);
+            folder.unwrap_or_default().join(SERVICE)
+        };
+        SoakOptions {
+            seeds: self.seeds,
+            first_seed: self.first_seed,
+            seconds: self.seconds,
+            workers: self.workers,
+            controllers: self.controllers,
+            parallel: self.parallel,
+            binary: self.binary.unwrap_or_else(beside),
+            report: self.report,
+            keep: self.keep,
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let Arguments { verb: Verb::Soak(arguments) } = Arguments::parse();
+    match run_soak(&arguments.options()) {
+        Ok(report) => verdict(&report),
+        Err(reason) => {
+            eprintln!("millethold-rehearsal: {reason}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// The last line, and the status.
+fn verdict(report: &SoakReport) -> ExitCode {
+    let (passed, failed) = report.counts();
+    println!("{passed} passed, {failed} failed");
+    match failed == 0 && passed > 0 {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    }
+}
+
+fn run_soak(options: &SoakOptions) -> Result<SoakReport, String> {
+    options.check().map_err(|e| e.to_string())?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let told = Arc::clone(&stop);
+    ctrlc::set_handler(move || told.store(true, Ordering::Relaxed)).map_err(|e| e.to_string())?;
+    let report = soak::soak(options, &stop, |run| print!("{run}")).map_err(|e| e.to_string())?;
+    if let Some(file) = &options.report {
+        let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
+        std::fs::write(file, text + "\n").map_err(|e| format!("{}: {e}", file.display()))?;
+    }
+    Ok(report)
+}
--- /dev/null
+++ b/crates/rehearsal/src/options.rs
@@ -0,0 +1,83 @@
+//! What a soak is asked for, checked.
+
+use std::fmt;
+use std::path::PathBuf;
+
+/// Most members of a run.
+pub const MOST_CONTROLLERS: usize = 9;
+/// Most workers of a run.
+pub const MOST_WORKERS: usize = 600;
+/// Most seconds of faults in a run.
+const MOST_SECONDS: u64 = 3_600;
+/// Most runs beside each other: nine members each stay far below 300 processes.
+pub const MOST_PARALLEL: usize = 16;
+
+/// A soak: a number of runs, each with its seed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SoakOptions {
+    /// Runs.
+    pub seeds: u64,
+    /// Seed of the first one; the others follow it.
+    pub first_seed: u64,
+    /// Seconds of faults in each run.
+    pub seconds: u64,
+    /// Workers at the start of each run; drawn by the seed if not given.
+    pub workers: Option<usize>,
+    /// Controllers of each run.
+    pub controllers: usize,
+    /// Runs beside each other.
+    pub parallel: usize,
+    /// The service's program.
+    pub binary: PathBuf,
+    /// Where the report is written as JSON.
+    pub report: Option<PathBuf>,
+    /// Where the logs of runs that break a rule are kept.
+    pub keep: Option<PathBuf>,
+}
+
+/// Why a soak cannot be played as it is asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BadOption {
+    /// The option.
+    pub option: &'static str,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+impl fmt::Display for BadOption {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "--{}: {}", self.option, self.reason)
+    }
+}
+
+impl std::error::Error for BadOption {}
+
+impl SoakOptions {
+    /// Checks what can be checked before anything is started.
+    ///
+    /// # Errors
+    ///
+    /// The first option that is wrong.
+    pub fn check(&self) -> Result<(), BadOption> {
+        let within = |option, value: u64, most: u64| match (1..=most).contains(&value) {
+            true => Ok(()),
+            false => Err(BadOption { option, reason: format!("must be from 1 to {most}") }),
+        };
+        within("seeds", self.seeds, 100_000)?;
+        within("seconds", self.seconds, MOST_SECONDS)?;
+        within("controllers", self.controllers as u64, MOST_CONTROLLERS as u64)?;
+        within("parallel", self.parallel as u64, MOST_PARALLEL as u64)?;
+        if let Some(workers) = self.workers {
+            within("workers", workers as u64, MOST_WORKERS as u64)?;
+        }
+        if self.first_seed.checked_add(self.seeds).is_none() {
+            let reason = "the last seed is too large".to_string();
+            return Err(BadOption { option: "first-seed", reason });
+        }
+        if !self.binary.is_file() {
+            let reason = format!("{} is not there; build it first", self.binary.display());
+            return Err(BadOption { option: "binary", reason });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/soak.rs
@@ -0,0 +1,100 @@
+//! A soak: runs with one seed after the other, some beside each other.
+
+use crate::options::SoakOptions;
+use crate::report::SoakReport;
+use crate::world::{RunError, World};
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::thread;
+
+/// Tries of a run whose addresses are somebody else's.
+const SETUP_TRIES: usize = 2;
+
+/// Why a soak ended early.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SoakError {
+    /// It was told to stop.
+    Interrupted,
+    /// A run could not be set up.
+    Setup(String),
+}
+
+impl std::fmt::Display for SoakError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            SoakError::Interrupted => f.write_str("interrupted"),
+            SoakError::Setup(what) => f.write_str(what),
+        }
+    }
+}
+
+impl std::error::Error for SoakError {}
+
+/// Plays all runs; `tell` is called with each as it is over. All processes that were
+/// started have ended when this returns.
+///
+/// # Errors
+///
+/// If `stop` is set, or a run cannot be set up.
+pub fn soak(
+    options: &SoakOptions,
+    stop: &AtomicBool,
+    tell: impl Fn(&crate::report::RunReport) + Sync,
+) -> Result<SoakReport, SoakError> {
+    let next = AtomicU64::new(0);
+    let places = AtomicUsize::new(0);
+    let runs = Mutex::new(BTreeMap::new());
+    let error: Mutex<Option<SoakError>> = Mutex::new(None);
+    let halted = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..options.parallel {
+            scope.spawn(|| {
+                loop {
+                    let number = next.fetch_add(1, Ordering::Relaxed);
+                    if number >= options.seeds || halted.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let seed = options.first_seed + number;
+                    match play(options, seed, &places, stop) {
+                        Ok(run) => {
+                            tell(&run);
+                            if let Ok(mut runs) = runs.lock() {
+                                runs.insert(seed, run);
+                            }
+                        }
+                        Err(e) => {
+                            halted.store(true, Ordering::Relaxed);
+                            if let Ok(mut error) = error.lock() {
+                                error.get_or_insert(e);
+                            }
+                        }
+                    }
+                }
+            });
+        }
+    });
+    if let Some(e) = error.into_inner().ok().flatten() {
+        return Err(e);
+    }
+    let runs = runs.into_inner().unwrap_or_default();
+    Ok(SoakReport { runs: runs.into_values().collect() })
+}
+
+fn play(
+    options: &SoakOptions,
+    seed: u64,
+    places: &AtomicUsize,
+    stop: &AtomicBool,
+) -> Result<crate::report::RunReport, SoakError> {
+    let mut failure = String::new();
+    for _ in 0..SETUP_TRIES {
+        let place = places.fetch_add(1, Ordering::Relaxed);
+        match World::play(options, seed, place, stop) {
+            Ok(run) => return Ok(run),
+            Err(RunError::Interrupted) => return Err(SoakError::Interrupted),
+            Err(RunError::Setup(what)) => failure = what,
+        }
+    }
+    Err(SoakError::Setup(format!("seed {seed}: {failure}")))
+}
--- /dev/null
+++ b/crates/rehearsal/src/world/machines.rs
@@ -0,0 +1,384 @@
+//! Machines: their reports, what they are told, and how they come and go.
+
+use super::{Action, World};
+use crate::faults::{Fault, LATE_REPORTS};
+use crate::history::Seen;
+use crate::links::{Direction, Link, Passage};
+use crate::net::{ConnectionId, Role};
+use crate::settings::{REPORT, member_number};
+use crate::state_calls::Answer;
+use crate::worker::{ReportUnderWay, SeenAt};
+use millethold::http::{self, OutgoingRequest, Request};
+use millethold::time::Micros;
+use millethold::wire::{Command, DirectCommands, ReportReply, path};
+use rand::RngExt;
+use serde::Deserialize;
+use serde_json::json;
+
+/// How long a worker waits for the answer to its report.
+const REPORT_PATIENCE: Micros = Micros::secs(4);
+/// After a failure it tries the next controller this much later.
+const NEXT_CONTROLLER: Micros = Micros::secs(1);
+/// Commands that are later than this are told of.
+const LATE: Micros = Micros::secs(5);
+/// Number of a request whose answer nobody awaits.
+pub(super) const NOBODY: u64 = u64::MAX;
+
+/// A worker's connection to the controller that it reports to.
+#[derive(Debug)]
+pub(super) struct ReportConnection {
+    id: ConnectionId,
+    controller: usize,
+    /// The report whose answer it awaits.
+    report: Option<ReportUnderWay>,
+}
+
+/// The answer that sends a worker elsewhere.
+#[derive(Deserialize)]
+struct Misdirected {
+    foreman: Option<String>,
+}
+
+impl World {
+    fn see_all(&mut self, seen: Vec<SeenAt>) {
+        for (at, seen) in seen {
+            self.see(at, seen);
+        }
+    }
+
+    /// Lets a worker's own time pass, and lets it report.
+    pub(super) fn worker_turn(&mut self, worker: usize) {
+        let now = self.now;
+        let seen = self.workers[worker].advance(now);
+        self.see_all(seen);
+        let machine = &self.workers[worker];
+        if machine.gone {
+            return;
+        }
+        if !machine.hangs(now) && machine.under_way.is_none() && machine.report_due() <= now {
+            self.send_report(worker);
+        }
+        let machine = &self.workers[worker];
+        let report = match machine.under_way {
+            Some(_) => Micros::FAR,
+            None => machine.report_due().max(now + Micros::millis(1)),
+        };
+        // Reports of a machine that hangs come afterwards; it is looked at meanwhile.
+        let pause = if machine.hangs(now) { Micros::millis(50) } else { Micros::ZERO };
+        let next = machine.next_change().min(report.max(now + pause)).max(now + Micros(1));
+        self.at(next, Action::Worker { worker });
+    }
+
+    fn send_report(&mut self, worker: usize) {
+        let spread = Micros(self.rng.random_range(0..REPORT.0 / 2));
+        let controller = self.workers[worker].controller;
+        let address = self.addresses.worker(controller, worker).to_string();
+        let machine = &mut self.workers[worker];
+        let report = machine.make_report(self.now, spread, address);
+        let Some(under_way) = machine.under_way else {
+            return;
+        };
+        let body = serde_json::to_vec(&report).unwrap_or_default();
+        let number = under_way.number;
+        self.at(self.now + REPORT_PATIENCE, Action::ReportGivenUp { worker, number });
+        self.copy_report(&body);
+        match self.pass(Link::Report { worker, controller }, Direction::Request) {
+            Passage::At(at) => {
+                self.at(at, Action::Report { worker, controller, report: under_way, body });
+            }
+            Passage::Lost => {}
+            Passage::Reset => self.report_failed(worker, number),
+        }
+    }
+
+    /// Perhaps a copy of a report comes later, at any controller.
+    fn copy_report(&mut self, body: &[u8]) {
+        let percent =
+            self.faults.iter().filter(|f| f.active(self.now)).find_map(|f| match f.fault {
+                Fault::LateReports { percent } => Some(percent),
+                _ => None,
+            });
+        if percent.is_some_and(|percent| self.rng.random_range(0..100) < percent) {
+            let controller = self.rng.random_range(0..self.controllers.len());
+            let late = Micros::millis(self.rng.random_range(LATE_REPORTS.0..LATE_REPORTS.1));
+            let body = body.to_vec();
+            self.at(self.now + late, Action::ReportCopy { controller, body });
+        }
+    }
+
+    /// A report arrives at a controller's socket.
+    pub(super) fn deliver_report(
+        &mut self,
+        worker: usize,
+        controller: usize,
+        report: ReportUnderWay,
+        body: Vec<u8>,
+    ) {
+        let host = self.controller_address(controller);
+        let request =
+            OutgoingRequest { method: "POST", path: path::REPORT.to_string(), body: Some(body) };
+        let usable = self
+            .report_connections
+            .get(&worker)
+            .is_some_and(|c| c.controller == controller && c.report.is_none());
+        if !usable {
+            if let Some(old) = self.report_connections.remove(&worker) {
+                self.net.close(old.id);
+            }
+            let Ok(id) = self.net.connect(host, Role::Report { worker, controller }) else {
+                return self.report_failed(worker, report.number);
+            };
+            let connection = ReportConnection { id, controller, report: None };
+            self.report_connections.insert(worker, connection);
+        }
+        if let Some(connection) = self.report_connections.get_mut(&worker) {
+            connection.report = Some(report);
+            let id = connection.id;
+            self.net.request(id, &request, host);
+        }
+    }
+
+    /// A copy of a report arrives at a controller's socket; nobody awaits its answer.
+    pub(super) fn deliver_copy(&mut self, controller: usize, body: Vec<u8>) {
+        let host = self.controller_address(controller);
+        let request =
+            OutgoingRequest { method: "POST", path: path::REPORT.to_string(), body: Some(body) };
+        if let Ok(id) = self.net.connect(host, Role::User { request: NOBODY }) {
+            self.net.request(id, &request, host);
+        }
+    }
+
+    /// A controller has answered a report; the answer is on its way.
+    pub(super) fn report_answer_sent(
+        &mut self,
+        id: ConnectionId,
+        worker: usize,
+        answer: http::Answer,
+    ) {
+        let Some(connection) = self.report_connections.get_mut(&worker).filter(|c| c.id == id)
+        else {
+            return;
+        };
+        let (controller, report) = (connection.controller, connection.report.take());
+        let Some(report) = report else {
+            return;
+        };
+        match self.pass(Link::Report { worker, controller }, Direction::Answer) {
+            Passage::At(at) => {
+                let http::Answer { status, body, .. } = answer;
+                self.at(at, Action::ReportAnswer { worker, report, status, body });
+            }
+            Passage::Lost => {}
+            Passage::Reset => self.report_failed(worker, report.number),
+        }
+    }
+
+    pub(super) fn report_connection_closed(&mut self, id: ConnectionId, worker: usize) {
+        if self.report_connections.get(&worker).is_none_or(|c| c.id != id) {
+            return;
+        }
+        if let Some(report) = self.report_connections.remove(&worker).and_then(|c| c.report) {
+            self.report_failed(worker, report.number);
+        }
+    }
+
+    /// The answer to a report arrives at its worker.
+    pub(super) fn report_answered(
+        &mut self,
+        worker: usize,
+        report: ReportUnderWay,
+        status: u16,
+        body: &[u8],
+    ) {
+        let now = self.now;
+        let machine = &mut self.workers[worker];
+        let seen = machine.advance(now);
+        let awaited = machine.under_way == Some(report);
+        if machine.gone || !awaited || machine.hangs(now) {
+            // Given up, of an earlier session, or nobody is there to read it.
+            return self.see_all(seen);
+        }
+        machine.under_way = None;
+        let more = match (status, serde_json::from_slice::<ReportReply>(body)) {
+            (200, Ok(reply)) => {
+                machine.answered(now, report, reply.token, reply.commands, &self.jobs)
+            }
+            (421, _) => {
+                let named = serde_json::from_slice::<Misdirected>(body).ok();
+                let named = named.and_then(|answer| member_number(&answer.foreman?));
+                self.redirect(worker, named);
+                Vec::new()
+            }
+            _ => {
+                self.try_next_controller(worker);
+                Vec::new()
+            }
+        };
+        self.see_all(seen);
+        self.see_all(more);
+        self.at(now, Action::Worker { worker });
+    }
+
+    fn redirect(&mut self, worker: usize, named: Option<usize>) {
+        let count = self.controllers.len();
+        let machine = &mut self.workers[worker];
+        match named.filter(|n| *n < count && *n != machine.controller) {
+            Some(named) => {
+                machine.controller = named;
+                machine.next_report = self.now + Micros::millis(self.rng.random_range(0..500));
+            }
+            None => self.try_next_controller(worker),
+        }
+    }
+
+    fn try_next_controller(&mut self, worker: usize) {
+        let count = self.controllers.len();
+        let machine = &mut self.workers[worker];
+        machine.controller = (machine.controller + 1) % count;
+        machine.next_report = self.now + NEXT_CONTROLLER;
+    }
+
+    /// A worker has waited long enough.
+    pub(super) fn report_given_up(&mut self, worker: usize, number: u64) {
+        self.report_failed(worker, number);
+    }
+
+    fn report_failed(&mut self, worker: usize, number: u64) {
+        if self.workers[worker].under_way.is_none_or(|report| report.number != number) {
+            return;
+        }
+        self.workers[worker].under_way = None;
+        if let Some(connection) = self.report_connections.remove(&worker) {
+            self.net.close(connection.id);
+        }
+        self.try_next_controller(worker);
+        self.at(self.now, Action::Worker { worker });
+    }
+
+    /// A controller sends a worker something.
+    pub(super) fn command_request(
+        &mut self,
+        id: ConnectionId,
+        controller: usize,
+        worker: usize,
+        request: &Request,
+    ) {
+        let sent = self.now;
+        let direct = match request.path.as_str() {
+            path::COMMANDS => match serde_json::from_slice::<DirectCommands>(&request.body) {
+                Ok(direct) => Some(direct),
+                Err(_) => return self.net.answer(id, 400, b"{\"error\":\"malformed\"}"),
+            },
+            _ => None,
+        };
+        match self.pass(Link::Command { worker, controller }, Direction::Request) {
+            Passage::At(at) => {
+                let action = match direct {
+                    Some(direct) => {
+                        Action::Commands { connection: id, controller, worker, direct, sent }
+                    }
+                    None => Action::Inspect { connection: id, controller, worker },
+                };
+                self.at(at, action);
+            }
+            Passage::Lost => {}
+            Passage::Reset => self.net.close(id),
+        }
+    }
+
+    /// Direct commands arrive at a worker, whoever still awaits their answer.
+    pub(super) fn commands(
+        &mut self,
+        id: ConnectionId,
+        controller: usize,
+        worker: usize,
+        direct: DirectCommands,
+        sent: Micros,
+    ) {
+        let now = self.now;
+        let machine = &mut self.workers[worker];
+        let before = machine.advance(now);
+        if machine.gone {
+            return self.see_all(before);
+        }
+        if machine.hangs(now) {
+            let at = now + Micros::millis(100);
+            self.see_all(before);
+            return self
+                .at(at, Action::Commands { connection: id, controller, worker, direct, sent });
+        }
+        let starts = direct.commands.iter().any(|c| matches!(c, Command::Start { .. }));
+        let (executed, seen) = machine.direct(now, direct, &self.jobs);
+        let name = machine.name.clone();
+        self.see_all(before);
+        if starts && now > sent + LATE {
+            let late = now.since(sent);
+            self.see(now, Seen::LateCommands { machine: name, late, executed });
+        }
+        self.see_all(seen);
+        self.answer_command(id, controller, worker, if executed { 200 } else { 409 });
+        self.at(now, Action::Worker { worker });
+    }
+
+    /// A question arrives at a worker.
+    pub(super) fn inspect(&mut self, id: ConnectionId, controller: usize, worker: usize) {
+        if !self.workers[worker].gone && !self.workers[worker].hangs(self.now) {
+            self.answer_command(id, controller, worker, 200);
+        }
+    }
+
+    fn answer_command(&mut self, id: ConnectionId, controller: usize, worker: usize, status: u16) {
+        let address = self.addresses.worker(controller, worker).to_string();
+        let answer = Answer::new(status, &self.workers[worker].body(address));
+        match self.pass(Link::Command { worker, controller }, Direction::Answer) {
+            Passage::At(at) => self.at(at, Action::Reply { connection: id, answer }),
+            Passage::Lost => {}
+            Passage::Reset => self.net.close(id),
+        }
+    }
+
+    /// A rented machine is up.
+    pub(super) fn machine_up(&mut self, name: String) {
+        if let Err(e) = self.add_worker(name) {
+            let what = format!("no further worker: {e}");
+            self.failures.push(crate::report::Failure::Setup { what });
+        }
+    }
+
+    /// A machine is returned, or the cloud takes it.
+    pub(super) fn take_machine(&mut self, name: &str) {
+        self.cloud.take(self.now, name);
+        let Some(worker) = self.workers.iter().position(|w| w.name == name && !w.gone) else {
+            return;
+        };
+        let machine = &mut self.workers[worker];
+        let mut seen = machine.advance(self.now);
+        seen.extend(machine.take(self.now));
+        self.see_all(seen);
+        if let Some(connection) = self.report_connections.remove(&worker) {
+            self.net.close(connection.id);
+        }
+    }
+
+    /// Asks the controllers that have not answered yet whether they are well.
+    pub(super) fn check_health(&mut self) {
+        for controller in 0..self.controllers.len() {
+            if !self.healthy[controller] {
+                self.ask_health(controller);
+            }
+        }
+    }
+
+    fn ask_health(&mut self, controller: usize) {
+        let host = self.controller_address(controller);
+        let request = self.new_health_request(controller);
+        if let Ok(id) = self.net.connect(host, Role::User { request }) {
+            self.net.request(id, &OutgoingRequest::get(path::HEALTH.to_string()), host);
+        }
+    }
+}
+
+/// A body that says nothing.
+pub(super) fn empty() -> Vec<u8> {
+    serde_json::to_vec(&json!({})).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/rehearsal/src/world/mod.rs
@@ -0,0 +1,365 @@
+//! One run: the clock, what is to happen when, and all parties.
+//!
+//! - this file: the clock, the queue of actions, the phases of a run;
+//! - `setup`: files, sockets and processes;
+//! - `outside`: calls to the state service and the cloud;
+//! - `machines`: reports and commands;
+//! - `users`: what users ask and are told;
+//! - `peers`: links between controllers;
+//! - `troubles`: faults begin and end.
+
+mod machines;
+mod outside;
+mod peers;
+mod setup;
+mod troubles;
+mod users;
+
+use crate::addresses::Addresses;
+use crate::cloud::Cloud;
+use crate::faults::PlannedFault;
+use crate::history::{History, Seen};
+use crate::jobs::Jobs;
+use crate::links::{self, Direction, Link, Passage};
+use crate::net::{ConnectionId, Net, NetEvent, Role};
+use crate::options::SoakOptions;
+use crate::process::Controller;
+use crate::relay::Relays;
+use crate::report::{Failure, RunReport};
+use crate::rules;
+use crate::state_calls::{Answer, Call};
+use crate::state_service::StateService;
+use crate::worker::{ReportUnderWay, Worker};
+use calloop::EventLoop;
+use machines::ReportConnection;
+use millethold::http::Request;
+use millethold::time::Micros;
+use millethold::wire::DirectCommands;
+use outside::Watch;
+use rand::rngs::StdRng;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+use users::{UserJob, UserRequest, UserStep};
+
+/// All controllers answer health checks by then, also on a loaded machine.
+const STARTS_WITHIN: Duration = Duration::from_secs(120);
+/// Once all faults are over all jobs are served by then: generous, since the machine may be
+/// loaded and waits behind faults double.
+const SERVED_WITHIN: Micros = Micros::secs(180);
+/// Between looks at what no message tells of.
+const TICK: Micros = Micros::millis(50);
+
+/// Something that is to happen at a certain time.
+enum Action {
+    /// A call reaches the state service.
+    StateCall { connection: ConnectionId, controller: usize, call: Call },
+    /// A transaction is carried out whose answer nobody awaits.
+    LateCall { call: Call },
+    /// A call reaches the cloud.
+    CloudCall { connection: ConnectionId, controller: usize, request: Request },
+    /// Direct commands reach a worker.
+    Commands {
+        connection: ConnectionId,
+        controller: usize,
+        worker: usize,
+        direct: DirectCommands,
+        sent: Micros,
+    },
+    /// A question reaches a worker.
+    Inspect { connection: ConnectionId, controller: usize, worker: usize },
+    /// An answer reaches a controller.
+    Reply { connection: ConnectionId, answer: Answer },
+    /// A worker's time has come.
+    Worker { worker: usize },
+    /// A report reaches a controller.
+    Report { worker: usize, controller: usize, report: ReportUnderWay, body: Vec<u8> },
+    /// A copy of a report reaches a controller.
+    ReportCopy { controller: usize, body: Vec<u8> },
+    /// The answer to a report reaches its worker.
+    ReportAnswer { worker: usize, report: ReportUnderWay, status: u16, body: Vec<u8> },
+    /// A worker has waited long enough for the answer to a report.
+    ReportGivenUp { worker: usize, number: u64 },
+    /// A rented machine is up.
+    MachineUp { name: String },
+    /// Bytes of a relayed connection may go on.
+    Relay { pipe: u64, near: bool },
+    /// A user acts.
+    User(UserStep),
+    /// A user has waited long enough for an answer.
+    UserGivesUp { request: u64 },
+    /// A fault begins.
+    FaultBegins(usize),
+    /// A fault is over.
+    FaultEnds(usize),
+    /// A controller's process is started.
+    Start { controller: usize },
+    /// A controller's process is killed.
+    Kill { controller: usize, back: Micros },
+    /// Looks at what no message tells of.
+    Tick,
+}
+
+/// One run.
+pub(crate) struct World {
+    started: Instant,
+    now: Micros,
+    rng: StdRng,
+    actions: BTreeMap<(Micros, u64), Action>,
+    next_action: u64,
+    pub(crate) net: Net,
+    pub(crate) relays: Relays,
+    addresses: Addresses,
+    seed: u64,
+    controllers: Vec<Controller>,
+    /// Controllers that have answered a health check.
+    healthy: Vec<bool>,
+    /// The run's files; they go with it.
+    _directory: TempDir,
+    state: StateService,
+    watches: Vec<Watch>,
+    cloud: Cloud,
+    workers: Vec<Worker>,
+    report_connections: BTreeMap<usize, ReportConnection>,
+    jobs: Jobs,
+    user_jobs: BTreeMap<String, UserJob>,
+    requests: BTreeMap<u64, UserRequest>,
+    next_request: u64,
+    faults: Vec<PlannedFault>,
+    /// From when on no fault is left.
+    calm: Micros,
+    history: History,
+    failures: Vec<Failure>,
+    /// Longest time for which this process itself did not run.
+    stalled: Micros,
+}
+
+/// Why a run could not be played.
+#[derive(Debug)]
+pub enum RunError {
+    /// It was told to stop.
+    Interrupted,
+    /// A file, a socket or a process could not be had.
+    Setup(String),
+}
+
+impl World {
+    /// Plays one run.
+    pub(crate) fn play(
+        options: &SoakOptions,
+        seed: u64,
+        place: usize,
+        stop: &AtomicBool,
+    ) -> Result<RunReport, RunError> {
+        let mut event_loop = EventLoop::try_new().map_err(|e| RunError::Setup(e.to_string()))?;
+        let net = Net::new(event_loop.handle());
+        let mut world = World::set_up(options, seed, place, net).map_err(RunError::Setup)?;
+        let deadline = Instant::now() + STARTS_WITHIN;
+        while !world.healthy.iter().all(|healthy| *healthy) {
+            world.turn(&mut event_loop, stop)?;
+            if let Some(controller) = world.controllers.iter_mut().position(Controller::has_ended) {
+                let line = world.controllers[controller].last_line();
+                return Err(RunError::Setup(format!("controller n{controller} ended: {line}")));
+            }
+            if Instant::now() > deadline {
+                return Err(RunError::Setup("the controllers do not become healthy".to_string()));
+            }
+        }
+        world.begin(options);
+        while !world.over() {
+            world.turn(&mut event_loop, stop)?;
+        }
+        Ok(world.finish(options))
+    }
+
+    /// Lets happen what is due, and waits for what comes next.
+    fn turn(
+        &mut self,
+        event_loop: &mut EventLoop<'static, World>,
+        stop: &AtomicBool,
+    ) -> Result<(), RunError> {
+        if stop.load(Ordering::Relaxed) {
+            return Err(RunError::Interrupted);
+        }
+        self.advance();
+        let next = self.actions.first_key_value().map_or(self.now + TICK, |((at, _), _)| *at);
+        let wait = next.since(self.clock()).duration();
+        event_loop.dispatch(wait, self).map_err(|e| RunError::Setup(e.to_string()))
+    }
+
+    fn clock(&self) -> Micros {
+        Micros(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX / 8))
+    }
+
+    /// Lets happen what is due by now, each at its own time.
+    fn advance(&mut self) {
+        let clock = self.clock();
+        while let Some(entry) = self.actions.first_entry()
+            && entry.key().0 <= clock
+        {
+            let ((at, _), action) = entry.remove_entry();
+            self.stalled = self.stalled.max(clock.since(at));
+            self.now = self.now.max(at);
+            self.happen(action);
+        }
+        self.now = self.now.max(clock);
+    }
+
+    fn at(&mut self, at: Micros, action: Action) {
+        self.next_action += 1;
+        self.actions.insert((at.max(self.now), self.next_action), action);
+    }
+
+    fn see(&mut self, at: Micros, seen: Seen) {
+        self.history.add(at, seen);
+    }
+
+    /// What becomes of a message that is sent now.
+    fn pass(&mut self, link: Link, direction: Direction) -> Passage {
+        links::pass(&self.faults, &mut self.rng, self.now, link, direction)
+    }
+
+    fn happen(&mut self, action: Action) {
+        match action {
+            Action::StateCall { connection, controller, call } => {
+                self.state_call(connection, controller, call);
+            }
+            Action::LateCall { call } => self.late_call(call),
+            Action::CloudCall { connection, controller, request } => {
+                self.cloud_call(connection, controller, &request);
+            }
+            Action::Commands { connection, controller, worker, direct, sent } => {
+                self.commands(connection, controller, worker, direct, sent);
+            }
+            Action::Inspect { connection, controller, worker } => {
+                self.inspect(connection, controller, worker);
+            }
+            Action::Reply { connection, answer } => {
+                self.net.answer(connection, answer.status, &answer.body);
+            }
+            Action::Worker { worker } => self.worker_turn(worker),
+            Action::Report { worker, controller, report, body } => {
+                self.deliver_report(worker, controller, report, body);
+            }
+            Action::ReportCopy { controller, body } => self.deliver_copy(controller, body),
+            Action::ReportAnswer { worker, report, status, body } => {
+                self.report_answered(worker, report, status, &body);
+            }
+            Action::ReportGivenUp { worker, number } => self.report_given_up(worker, number),
+            Action::MachineUp { name } => self.machine_up(name),
+            Action::Relay { pipe, near } => self.relay_on(pipe, near),
+            Action::User(step) => self.user_step(step),
+            Action::UserGivesUp { request } => self.user_unanswered(request),
+            Action::FaultBegins(number) => self.fault_begins(number),
+            Action::FaultEnds(number) => self.fault_ends(number),
+            Action::Start { controller } => self.start_controller(controller),
+            Action::Kill { controller, back } => self.kill_controller(controller, back),
+            Action::Tick => self.tick(),
+        }
+    }
+
+    /// The event loop says that a socket may be read or written.
+    pub(crate) fn socket_ready(&mut self, id: ConnectionId, readable: bool, writable: bool) {
+        // What was due before comes before what the socket brings.
+        self.advance();
+        if writable {
+            self.net.write(id);
+        }
+        if !readable {
+            return;
+        }
+        let Some(role) = self.net.role(id) else {
+            return;
+        };
+        for event in self.net.read(id) {
+            self.socket_event(id, role, event);
+        }
+    }
+
+    fn socket_event(&mut self, id: ConnectionId, role: Role, event: NetEvent) {
+        match (role, event) {
+            (Role::State { controller }, NetEvent::Request(request)) => {
+                self.state_request(id, controller, &request);
+            }
+            (Role::Cloud { controller }, NetEvent::Request(request)) => {
+                self.cloud_request(id, controller, request);
+            }
+            (Role::Commands { controller, worker }, NetEvent::Request(request)) => {
+                self.command_request(id, controller, worker, &request);
+            }
+            (Role::Report { worker, .. }, NetEvent::Answer(answer)) => {
+                self.report_answer_sent(id, worker, answer);
+            }
+            (Role::User { request }, NetEvent::Answer(answer)) => {
+                self.user_answer_sent(id, request, answer);
+            }
+            (Role::Relay { pipe, near }, NetEvent::Bytes(bytes)) => {
+                self.relay_bytes(pipe, near, bytes);
+            }
+            (role, NetEvent::Closed) => {
+                self.net.close(id);
+                self.socket_closed(id, role);
+            }
+            // No other party sends requests, or answers to nothing.
+            _ => self.net.close(id),
+        }
+    }
+
+    fn socket_closed(&mut self, id: ConnectionId, role: Role) {
+        match role {
+            Role::Report { worker, .. } => self.report_connection_closed(id, worker),
+            Role::User { request } => self.user_connection_closed(request),
+            Role::Relay { pipe, near } => self.relay_closed(pipe, near),
+            Role::State { .. } => self.watches.retain(|watch| watch.connection != id),
+            Role::Cloud { .. } | Role::Commands { .. } => {}
+        }
+    }
+
+    /// Looks at what no message tells of.
+    fn tick(&mut self) {
+        self.expire_state();
+        for controller in 0..self.controllers.len() {
+            if !self.healthy.iter().all(|healthy| *healthy) {
+                self.check_health();
+                break;
+            }
+            if self.controllers[controller].has_ended() {
+                let last_line = self.controllers[controller].last_line();
+                self.failures.push(Failure::EndedByItself { controller, last_line });
+                self.at(self.now + Micros::millis(300), Action::Start { controller });
+            }
+        }
+        self.at(self.now + TICK, Action::Tick);
+    }
+
+    /// Whether the run is over: no fault is left, and all jobs have been served and all
+    /// questions asked; or there was more than enough time for that.
+    fn over(&self) -> bool {
+        if self.now < self.calm {
+            return false;
+        }
+        let served = self.users_are_done() && !self.workers.iter().any(Worker::busy);
+        served || self.now > self.calm + SERVED_WITHIN
+    }
+
+    /// Judges what was seen.
+    fn finish(mut self, options: &SoakOptions) -> RunReport {
+        self.note_unserved();
+        let facts = self.facts();
+        let breaks = rules::check(&facts, &self.history);
+        let report = RunReport::new(
+            self.seed,
+            self.workers.len(),
+            &self.faults,
+            &self.history,
+            breaks,
+            std::mem::take(&mut self.failures),
+            self.stalled,
+        );
+        if let Some(keep) = options.keep.as_ref().filter(|_| !report.passed()) {
+            self.keep_logs(keep);
+        }
+        report
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/world/troubles.rs
@@ -0,0 +1,89 @@
+//! Faults begin and end: those that change more than what becomes of messages.
+
+use super::users::UserStep;
+use super::{Action, World};
+use crate::faults::{Cut, Fault, SomeWorkers};
+use crate::report::Failure;
+use millethold::time::Micros;
+use rand::seq::IndexedRandom;
+use std::collections::BTreeSet;
+
+impl World {
+    pub(super) fn fault_begins(&mut self, number: usize) {
+        let planned = self.faults[number];
+        match planned.fault {
+            Fault::Kill { controller, back } => self.kill_controller(controller, back),
+            Fault::KillAll { back } => {
+                for controller in 0..self.controllers.len() {
+                    self.kill_controller(controller, back);
+                }
+            }
+            Fault::KillInTurn { pause, back } => {
+                for controller in 0..self.controllers.len() {
+                    let at = self.now + Micros(pause.0 * controller as u64);
+                    self.at(at, Action::Kill { controller, back });
+                }
+            }
+            Fault::Pause { controller } => self.controllers[controller].pause(),
+            Fault::CutPeers { controller, cut: Cut::Reset } => self.cut_pipes_of(controller),
+            Fault::Hang { workers } => self.hang(workers, planned.until),
+            Fault::TakeMachines { workers } => self.take_machines(workers),
+            Fault::CancelMany { count } => self.cancel_many(count),
+            _ => {}
+        }
+    }
+
+    pub(super) fn fault_ends(&mut self, number: usize) {
+        match self.faults[number].fault {
+            Fault::Pause { controller } => self.controllers[controller].resume(),
+            Fault::RefuseAll => {
+                self.state.renew_all(self.now);
+                self.wake_watches();
+            }
+            Fault::RefuseOne { .. } => self.wake_watches(),
+            _ => {}
+        }
+    }
+
+    pub(super) fn kill_controller(&mut self, controller: usize, back: Micros) {
+        self.controllers[controller].kill();
+        self.at(self.now + back, Action::Start { controller });
+    }
+
+    pub(super) fn start_controller(&mut self, controller: usize) {
+        if let Err(e) = self.controllers[controller].start() {
+            let what = format!("controller n{controller} does not start: {e}");
+            self.failures.push(Failure::Setup { what });
+        }
+    }
+
+    fn hang(&mut self, workers: SomeWorkers, until: Micros) {
+        let now = self.now;
+        let machines = self.workers.iter_mut().enumerate();
+        for (_, machine) in machines.filter(|(number, m)| workers.has(*number) && !m.gone) {
+            machine.hang(now, until);
+        }
+    }
+
+    fn take_machines(&mut self, workers: SomeWorkers) {
+        let machines = self.workers.iter().enumerate();
+        let taken = machines.filter(|(number, m)| workers.has(*number) && !m.gone);
+        let names: Vec<String> = taken.map(|(_, machine)| machine.name.clone()).collect();
+        for name in names {
+            self.take_machine(&name);
+        }
+    }
+
+    fn cancel_many(&mut self, count: usize) {
+        let running: BTreeSet<String> = self
+            .workers
+            .iter()
+            .flat_map(|machine| machine.running_jobs().map(str::to_string))
+            .collect();
+        let running: Vec<String> = running.into_iter().collect();
+        let chosen: Vec<String> = running.sample(&mut self.rng, count).cloned().collect();
+        for job in chosen {
+            self.at(self.now, Action::User(UserStep::Cancel(job)));
+        }
+    }
+}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -15,7 +15,7 @@
 mod limits;
 mod peers;
 mod requests;
-mod socket;
+pub mod socket;
 mod status;
 mod timers;
 
--- a/src/runtime/socket.rs
+++ b/src/runtime/socket.rs
@@ -9,7 +9,11 @@
 const IN_PROGRESS: i32 = 115;
 
 /// Listens with an address that a quick restart may use again at once.
-pub(super) fn listen(address: SocketAddrV4) -> io::Result<TcpListener> {
+///
+/// # Errors
+///
+/// Those of the system, with the address named.
+pub fn listen(address: SocketAddrV4) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
@@ -21,7 +25,11 @@
 }
 
 /// Starts to connect; the socket becomes writable once that is done.
-pub(super) fn begin_connect(address: SocketAddrV4) -> io::Result<TcpStream> {
+///
+/// # Errors
+///
+/// Those of the system, where it refuses at once.
+pub fn begin_connect(address: SocketAddrV4) -> io::Result<TcpStream> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
     socket.set_nonblocking(true)?;
     let _ = socket.set_tcp_nodelay(true);
--- a/src/time.rs
+++ b/src/time.rs
@@ -1,9 +1,11 @@
 //! Points in time and spans, in whole microseconds.
 
+use serde::Serialize;
 use std::ops::{Add, AddAssign, Sub};
 
 /// A span, or a point on this process's steady clock, in microseconds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize)]
+#[serde(transparent)]
 pub struct Micros(pub u64);
 
 impl Micros {
