--- a/crates/rehearsal/src/addresses.rs
+++ b/crates/rehearsal/src/addresses.rs
@@ -17,6 +17,8 @@
 const BLOCKS: u32 = 200;
 /// Number of the first block.
 const FIRST_BLOCK: u32 = 32;
+/// Runs that a block has addresses for; the first ones are free again by then.
+const RUNS: usize = 250;
 /// Last byte of the address that is controller 0's own side of its links.
 const FIRST_HOST: usize = 1;
 
@@ -28,15 +30,16 @@
 }
 
 impl Addresses {
-    /// Those of a run by its place among the runs of this process.
-    pub fn new(process: u32, run: usize) -> Addresses {
-        let block = FIRST_BLOCK + process % BLOCKS;
-        Addresses { block: block as u8, run: (run % 250) as u8 + 1 }
+    /// Those of a run by its place among the runs of this process; in a block that is given,
+    /// or in one by the number of the process.
+    pub fn new(block: Option<u8>, run: usize) -> Addresses {
+        let by_process = || (FIRST_BLOCK + std::process::id() % BLOCKS) as u8;
+        let run = (run % RUNS) as u8 + 1;
+        Addresses { block: block.unwrap_or_else(by_process), run }
     }
 
     /// A host that belongs to a controller: its own, or a stand-in as that one sees it.
     fn host(self, network: u8, controller: usize) -> Ipv4Addr {
-        // The run and the kind of host share the third byte's place with the second's.
         Ipv4Addr::new(127, self.block, self.run, network + (FIRST_HOST + controller) as u8)
     }
 
--- a/crates/rehearsal/src/faults.rs
+++ b/crates/rehearsal/src/faults.rs
@@ -50,53 +50,137 @@
 #[serde(rename_all = "snake_case", tag = "fault")]
 pub enum Fault {
     /// A controller's process is killed, and back after so long.
-    Kill { controller: usize, back: Micros },
+    Kill {
+        /// Its number.
+        controller: usize,
+        /// Until it is back.
+        back: Micros,
+    },
     /// All are.
-    KillAll { back: Micros },
+    KillAll {
+        /// Until it is back.
+        back: Micros,
+    },
     /// One after the other, whoever leads.
-    KillInTurn { pause: Micros, back: Micros },
+    KillInTurn {
+        /// Between two of them.
+        pause: Micros,
+        /// Until it is back.
+        back: Micros,
+    },
     /// A controller's process stands still.
-    Pause { controller: usize },
+    Pause {
+        /// Its number.
+        controller: usize,
+    },
     /// A controller and its peers are out of each other's reach.
-    CutPeers { controller: usize, cut: Cut },
+    CutPeers {
+        /// Its number.
+        controller: usize,
+        /// What becomes of messages.
+        cut: Cut,
+    },
     /// What one controller sends another does not arrive; the other way is open.
-    CutOneWay { from: usize, to: usize },
+    CutOneWay {
+        /// Who sends.
+        from: usize,
+        /// Who does not receive.
+        to: usize,
+    },
     /// A controller and the state service are.
-    CutState { controller: usize, cut: Cut },
+    CutState {
+        /// Its number.
+        controller: usize,
+        /// What becomes of messages.
+        cut: Cut,
+    },
     /// The state service refuses a controller.
-    RefuseOne { controller: usize },
+    RefuseOne {
+        /// Its number.
+        controller: usize,
+    },
     /// It refuses all.
     RefuseAll,
     /// It answers late, by up to so much.
-    SlowState { by: Micros },
+    SlowState {
+        /// How much at most.
+        by: Micros,
+    },
     /// Of some transactions nobody hears, and they are carried out late.
-    LateWrites { percent: u32 },
+    LateWrites {
+        /// How many of a hundred.
+        percent: u32,
+    },
     /// Of some transactions only the answer is lost.
-    LostAnswers { percent: u32 },
+    LostAnswers {
+        /// How many of a hundred.
+        percent: u32,
+    },
     /// A controller and all workers are out of each other's reach.
-    CutWorkers { controller: usize, cut: Cut },
+    CutWorkers {
+        /// Its number.
+        controller: usize,
+        /// What becomes of messages.
+        cut: Cut,
+    },
     /// These workers are out of every controller's reach.
-    CutSome { workers: SomeWorkers, cut: Cut },
+    CutSome {
+        /// Which.
+        workers: SomeWorkers,
+        /// What becomes of messages.
+        cut: Cut,
+    },
     /// Answers and commands do not reach these workers.
-    Deaf { workers: SomeWorkers },
+    Deaf {
+        /// Which.
+        workers: SomeWorkers,
+    },
     /// Reports of these workers do not arrive.
-    Mute { workers: SomeWorkers },
+    Mute {
+        /// Which.
+        workers: SomeWorkers,
+    },
     /// These machines hang, and go on afterwards.
-    Hang { workers: SomeWorkers },
+    Hang {
+        /// Which.
+        workers: SomeWorkers,
+    },
     /// Some direct commands are held, while reports go on.
-    HeldCommands { percent: u32, least: Micros, most: Micros },
+    HeldCommands {
+        /// How many of a hundred.
+        percent: u32,
+        /// At least so long.
+        least: Micros,
+        /// At most so long.
+        most: Micros,
+    },
     /// Of some reports a copy comes later, at any controller.
-    LateReports { percent: u32 },
+    LateReports {
+        /// How many of a hundred.
+        percent: u32,
+    },
     /// All messages take longer, by up to so much.
-    SlowLinks { by: Micros },
+    SlowLinks {
+        /// How much at most.
+        by: Micros,
+    },
     /// Users do not reach a controller.
-    CutUsers { controller: usize },
+    CutUsers {
+        /// Its number.
+        controller: usize,
+    },
     /// The cloud refuses all calls.
     CloudAway,
     /// The cloud takes some machines.
-    TakeMachines { workers: SomeWorkers },
+    TakeMachines {
+        /// Which.
+        workers: SomeWorkers,
+    },
     /// Users call off many running jobs at once.
-    CancelMany { count: usize },
+    CancelMany {
+        /// How many.
+        count: usize,
+    },
 }
 
 /// A fault, and when it is there.
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -13,20 +13,20 @@
 //! - [`history`], [`rules`], [`report`], [`soak`]: what was seen, what it breaks, what is told of it.
 
 mod addresses;
-mod cloud;
-mod faults;
+pub mod cloud;
+pub mod faults;
 pub mod history;
-mod jobs;
-mod links;
+pub mod jobs;
+pub mod links;
 mod net;
 pub mod options;
 mod process;
 mod relay;
 pub mod report;
 pub mod rules;
-mod settings;
+pub mod settings;
 pub mod soak;
-mod state_calls;
-mod state_service;
-mod worker;
+pub mod state_calls;
+pub mod state_service;
+pub mod worker;
 mod world;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -47,6 +47,10 @@
     /// Runs beside each other.
     #[arg(long, default_value_t = 1)]
     parallel: usize,
+    /// Second byte of the loopback addresses (127.BLOCK.x.y) that are used; chosen by the
+    /// process if left out.
+    #[arg(long)]
+    block: Option<u8>,
     /// The service's program; the one beside this program if left out.
     #[arg(long, value_name = "FILE")]
     binary: Option<PathBuf>,
@@ -72,6 +76,7 @@
             workers: self.workers,
             controllers: self.controllers,
             parallel: self.parallel,
+            block: self.block,
             binary: self.binary.unwrap_or_else(beside),
             report: self.report,
             keep: self.keep,
--- a/crates/rehearsal/src/options.rs
+++ b/crates/rehearsal/src/options.rs
@@ -27,6 +27,8 @@
     pub controllers: usize,
     /// Runs beside each other.
     pub parallel: usize,
+    /// Second byte of the loopback addresses that are used; by the process if not given.
+    pub block: Option<u8>,
     /// The service's program.
     pub binary: PathBuf,
     /// Where the report is written as JSON.
--- a/crates/rehearsal/src/soak.rs
+++ b/crates/rehearsal/src/soak.rs
@@ -88,7 +88,9 @@
     stop: &AtomicBool,
 ) -> Result<crate::report::RunReport, SoakError> {
     let mut failure = String::new();
-    for _ in 0..SETUP_TRIES {
+    // Addresses that were asked for are not exchanged for others.
+    let tries = if options.block.is_some() { 1 } else { SETUP_TRIES };
+    for _ in 0..tries {
         let place = places.fetch_add(1, Ordering::Relaxed);
         match World::play(options, seed, place, stop) {
             Ok(run) => return Ok(run),
--- a/crates/rehearsal/src/world/setup.rs
+++ b/crates/rehearsal/src/world/setup.rs
@@ -43,7 +43,7 @@
     ) -> Result<World, String> {
         let mut rng = StdRng::seed_from_u64(seed);
         let directory = tempfile::tempdir().map_err(|e| e.to_string())?;
-        let addresses = Addresses::new(std::process::id(), place);
+        let addresses = Addresses::new(options.block, place);
         let controllers = (0..options.controllers)
             .map(|number| controller(options, addresses, number, directory.path()))
             .collect::<Result<Vec<Controller>, String>>()?;
--- /dev/null
+++ b/crates/rehearsal/tests/soak.rs
@@ -0,0 +1,174 @@
+//! The program itself: a short seeded soak, and what it cannot be asked for.
+
+use std::io::Read;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// Patience with the program, also on a machine that is busy otherwise.
+const PATIENCE: Duration = Duration::from_secs(600);
+/// Runs of the program beside each other would share its addresses.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// The service's program of this build; it is built if only this package was.
+fn service() -> PathBuf {
+    let rehearsal = PathBuf::from(env!("CARGO_BIN_EXE_millethold-rehearsal"));
+    let service = rehearsal.with_file_name("millethold");
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let mut build = Command::new(cargo);
+    build.current_dir(root).args(["build", "--locked", "--quiet", "--package", "millethold"]);
+    if rehearsal.components().any(|part| part.as_os_str() == "release") {
+        build.arg("--release");
+    }
+    assert!(build.status().expect("cargo runs").success(), "the service is built");
+    service
+}
+
+fn rehearsal(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_millethold-rehearsal"));
+    command.arg("soak").args(arguments).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command
+}
+
+/// Processes whose command line names this program and this file.
+fn processes_with(text: &str) -> usize {
+    let mut count = 0;
+    for entry in std::fs::read_dir("/proc").expect("a list of processes").flatten() {
+        let line = std::fs::read(entry.path().join("cmdline")).unwrap_or_default();
+        let line = String::from_utf8_lossy(&line).replace('\0', " ");
+        count += usize::from(line.contains(text));
+    }
+    count
+}
+
+/// A copy of the service under a name that no other test's processes have.
+fn own_service(directory: &std::path::Path, name: &str) -> PathBuf {
+    let copy = directory.join(name);
+    std::fs::copy(service(), &copy).expect("a copy of the service");
+    copy
+}
+
+fn wait(mut child: Child) -> Output {
+    let begun = Instant::now();
+    loop {
+        if let Some(status) = child.try_wait().expect("the program") {
+            let (mut stdout, mut stderr) = (Vec::new(), Vec::new());
+            child.stdout.take().expect("piped").read_to_end(&mut stdout).expect("its output");
+            child.stderr.take().expect("piped").read_to_end(&mut stderr).expect("its errors");
+            return Output { status, stdout, stderr };
+        }
+        assert!(begun.elapsed() < PATIENCE, "the program does not end");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Two runs, scaled down for CI to six seconds of faults and a few workers.
+#[test]
+fn short_seeded_soak() {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(|e| e.into_inner());
+    let directory = tempfile::tempdir().expect("a folder");
+    let binary = own_service(directory.path(), "soaked-service");
+    let report = directory.path().join("report.json");
+    let keep = directory.path().join("keep");
+    let arguments = [
+        "--seeds",
+        "2",
+        "--first-seed",
+        "7",
+        "--seconds",
+        "6",
+        "--workers",
+        "10",
+        "--parallel",
+        "2",
+    ];
+    let child = rehearsal(&arguments)
+        .arg("--binary")
+        .arg(&binary)
+        .arg("--report")
+        .arg(&report)
+        .arg("--keep")
+        .arg(&keep)
+        .spawn()
+        .expect("the program");
+    let output = wait(child);
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
+    assert_eq!(text.lines().last(), Some("2 passed, 0 failed"), "{text}");
+    assert_eq!(processes_with("soaked-service"), 0, "a process is left");
+
+    let json = std::fs::read_to_string(&report).expect("a report");
+    let json: serde_json::Value = serde_json::from_str(&json).expect("JSON");
+    let runs = json["runs"].as_array().expect("runs");
+    let seeds: Vec<u64> = runs.iter().filter_map(|run| run["seed"].as_u64()).collect();
+    assert_eq!(seeds, [7, 8]);
+    for run in runs {
+        assert!(run["counts"]["starts"].as_u64() > Some(0), "{run}");
+        assert!(run["faults"].as_array().is_some_and(|faults| faults.len() >= 2), "{run}");
+    }
+}
+
+/// One line, a status other than 0, and no process left.
+#[test]
+fn what_cannot_be_played() {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(|e| e.into_inner());
+    let directory = tempfile::tempdir().expect("a folder");
+    let binary = own_service(directory.path(), "unplayed-service");
+    let binary = binary.to_str().expect("a path");
+    // Somebody else's: a controller's port, and one of a stand-in.
+    let users = TcpListener::bind("127.251.1.1:8080").expect("a port");
+    let state = TcpListener::bind("127.252.1.66:2379").expect("a port");
+    let table: [(&str, &[&str], &str); 9] = [
+        ("no seeds", &["--seeds", "0"], "--seeds"),
+        ("no seconds", &["--seconds", "0"], "--seconds"),
+        ("no controllers", &["--controllers", "0"], "--controllers"),
+        ("too many workers", &["--workers", "100000"], "--workers"),
+        ("the last seed is too large", &["--first-seed", "18446744073709551615"], "--first-seed"),
+        ("no binary", &["--binary", "/nowhere/millethold"], "/nowhere/millethold"),
+        ("no program", &["--binary", "/dev/null"], "/dev/null"),
+        ("a controller's port is taken", &["--block", "251"], "127.251.1.1:8080"),
+        ("a stand-in's port is taken", &["--block", "252"], "127.252.1.66:2379"),
+    ];
+    for (name, arguments, named) in table {
+        let mut command = rehearsal(arguments);
+        if !arguments.contains(&"--binary") {
+            command.args(["--binary", binary]);
+        }
+        let output = wait(command.spawn().expect("the program"));
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success(), "{name}");
+        assert_eq!(errors.lines().count(), 1, "{name}: {errors}");
+        assert!(errors.contains(named), "{name}: {errors}");
+    }
+    drop((users, state));
+    let unknown = wait(rehearsal(&["--sseeds", "1"]).spawn().expect("the program"));
+    assert!(!unknown.status.success());
+    assert!(String::from_utf8_lossy(&unknown.stderr).contains("--sseeds"));
+    assert_eq!(processes_with("unplayed-service"), 0, "a process is left");
+}
+
+/// Told to stop in the middle of a run it leaves nothing behind.
+#[test]
+fn interrupted() {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(|e| e.into_inner());
+    let directory = tempfile::tempdir().expect("a folder");
+    let binary = own_service(directory.path(), "interrupted-service");
+    let binary = binary.to_str().expect("a path");
+    let child = rehearsal(&["--seeds", "3", "--binary", binary]).spawn().expect("the program");
+    let begun = Instant::now();
+    // The program itself names the binary, too.
+    while processes_with("interrupted-service") < 4 {
+        assert!(begun.elapsed() < PATIENCE, "the controllers do not start");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let id = child.id().to_string();
+    let told = Command::new("kill").args(["-INT", &id]).status().expect("kill");
+    assert!(told.success());
+    let output = wait(child);
+    assert!(!output.status.success());
+    assert_eq!(String::from_utf8_lossy(&output.stderr).lines().count(), 1);
+    assert_eq!(processes_with("interrupted-service"), 0, "a process is left");
+}
