Rehearsal: tables for the stand-ins, for what faults do to messages and what a seed draws

Need: a stand-in that errs would hide or invent broken rules. Change: tables of commands, tokens, sessions and leases of the worker, transactions and leases of the state service, each fault's effect on each link, and the draw of 200 seeds.

--- /dev/null
+++ b/crates/rehearsal/tests/stand_ins.rs
@@ -0,0 +1,328 @@
+//! The stand-ins keep to the protocol's text, and faults do to messages what they say.
+
+use millethold::time::Micros;
+use millethold::wire::{Cause, Command, Condition, DirectCommands, TaskState, Txn, Write};
+use millethold_rehearsal::faults::{Cut, Fault, PlannedFault, SomeWorkers, draw_faults};
+use millethold_rehearsal::history::{Off, Seen};
+use millethold_rehearsal::jobs::{JobPlan, Jobs, draw_jobs};
+use millethold_rehearsal::links::{Direction, Link, Passage, Service, pass, serve};
+use millethold_rehearsal::settings::WORKER_LEASE;
+use millethold_rehearsal::state_service::{Outcome, StateService};
+use millethold_rehearsal::worker::{SeenAt, Worker};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde_json::json;
+use std::collections::BTreeSet;
+
+const NOW: Micros = Micros::secs(100);
+
+fn plan(id: &str, cpus: f64, saves: Micros) -> JobPlan {
+    JobPlan {
+        id: id.into(),
+        team: 2,
+        tasks: 4,
+        cpus,
+        runs: Micros::secs(5),
+        urgency: "standard",
+        image: "img".into(),
+        zone: None,
+        together: false,
+        apart: false,
+        spot: true,
+        saves,
+        mistake: false,
+        upstream: Vec::new(),
+        submit_at: Micros::ZERO,
+        cancel_at: None,
+    }
+}
+
+fn jobs() -> Jobs {
+    let plans = [
+        plan("j-1", 1.0, Micros::ZERO),
+        plan("j-2", 4.0, Micros::ZERO),
+        plan("j-3", 1.0, Micros::secs(1)),
+    ];
+    Jobs { plans: plans.into_iter().map(|plan| (plan.id.clone(), plan)).collect() }
+}
+
+fn worker() -> Worker {
+    Worker::new("vm-1".into(), "a", false, NOW, 0)
+}
+
+fn start(task: &str, attempt: u64) -> Command {
+    Command::Start { task: task.into(), attempt }
+}
+
+fn stop(task: &str, attempt: u64, grace_s: f64) -> Command {
+    Command::Stop { task: task.into(), attempt, grace_s }
+}
+
+fn forget(task: &str, attempt: u64) -> Command {
+    Command::Forget { task: task.into(), attempt }
+}
+
+fn direct(token: u64, session: u64, commands: Vec<Command>) -> DirectCommands {
+    DirectCommands { token, session, commands }
+}
+
+/// What the worker reports: task, attempt, state, cause.
+fn reported(worker: &mut Worker) -> Vec<(String, u64, TaskState, Option<Cause>)> {
+    let report = worker.body("10.1.0.1:1".into());
+    report.tasks.into_iter().map(|t| (t.task, t.attempt, t.state, t.cause)).collect()
+}
+
+fn ons(seen: &[SeenAt]) -> usize {
+    seen.iter().filter(|(_, seen)| matches!(seen, Seen::On { .. })).count()
+}
+
+/// Commands are carried out in order, once each, as the protocol says.
+#[test]
+fn commands() {
+    use TaskState::{Exited, Fetching, Running};
+    let exited = |attempt, cause| ("j-1/0".to_string(), attempt, Exited, Some(cause));
+    let fetching = |attempt| ("j-1/0".to_string(), attempt, Fetching, None);
+    // Commands, what is reported then.
+    let table = [
+        ("a start", vec![start("j-1/0", 1)], vec![fetching(1)]),
+        ("the same again", vec![start("j-1/0", 1), start("j-1/0", 1)], vec![fetching(1)]),
+        (
+            "another attempt of what is there",
+            vec![start("j-1/0", 1), start("j-1/0", 2)],
+            vec![fetching(1), exited(2, Cause::Busy)],
+        ),
+        (
+            "a job that nobody submitted",
+            vec![start("j-7/0", 1)],
+            vec![("j-7/0".to_string(), 1, Exited, Some(Cause::Unknown))],
+        ),
+        (
+            "a task that the job does not have",
+            vec![start("j-1/4", 1)],
+            vec![("j-1/4".to_string(), 1, Exited, Some(Cause::Unknown))],
+        ),
+        (
+            "stopped, and started again",
+            vec![start("j-1/0", 1), stop("j-1/0", 1, 0.0), start("j-1/0", 1)],
+            vec![exited(1, Cause::Stopped)],
+        ),
+        (
+            "cleared, and started again",
+            vec![start("j-1/0", 1), stop("j-1/0", 1, 0.0), forget("j-1/0", 1), start("j-1/0", 1)],
+            vec![fetching(1)],
+        ),
+        (
+            "what has not ended is not cleared",
+            vec![start("j-1/0", 1), forget("j-1/0", 1)],
+            vec![fetching(1)],
+        ),
+    ];
+    for (name, commands, want) in table {
+        let mut worker = worker();
+        let (executed, _) = worker.direct(NOW, direct(1, 1, commands), &jobs());
+        assert!(executed, "{name}");
+        assert_eq!(reported(&mut worker), want, "{name}");
+    }
+    let mut full = worker();
+    full.direct(NOW, direct(1, 1, vec![start("j-2/0", 1), start("j-1/0", 1)]), &jobs());
+    assert!(reported(&mut full).contains(&exited(1, Cause::NoRoom)), "fetching tasks count");
+
+    // A task that saves ends later, or at once by a second stop.
+    for (second, ends) in [(None, Micros::secs(1)), (Some(0.0), Micros::ZERO)] {
+        let mut saving = worker();
+        saving.direct(NOW, direct(1, 1, vec![start("j-3/0", 1)]), &jobs());
+        let on = NOW + Micros::millis(300);
+        assert_eq!(ons(&saving.advance(on)), 1, "the image is there");
+        assert_eq!(reported(&mut saving)[0].2, Running);
+        saving.direct(on, direct(1, 1, vec![stop("j-3/0", 1, 2.0)]), &jobs());
+        let mut seen = Vec::new();
+        if let Some(grace) = second {
+            seen = saving.direct(on, direct(1, 1, vec![stop("j-3/0", 1, grace)]), &jobs()).1;
+        }
+        seen.extend(saving.advance(on + Micros::secs(2)));
+        let off: Vec<Micros> = seen.iter().map(|(at, _)| *at).collect();
+        assert_eq!(off, [on + ends], "{second:?}");
+    }
+}
+
+/// Tokens, sessions and leases.
+#[test]
+fn who_may_command() {
+    // Token and session of the commands, whether a worker in its first session that has
+    // seen token 5 executes them.
+    for (token, session, want) in [(5, 1, true), (6, 1, true), (4, 1, false), (5, 2, false)] {
+        let mut worker = worker();
+        worker.direct(NOW, direct(5, 1, Vec::new()), &jobs());
+        let commands = direct(token, session, vec![start("j-1/0", 1)]);
+        let (executed, _) = worker.direct(NOW, commands, &jobs());
+        assert_eq!(executed, want, "token {token}, session {session}");
+        assert_eq!(reported(&mut worker).len(), usize::from(want));
+    }
+    // An answer renews the lease from when its report was sent; one below the token, or
+    // to a report of an earlier session, does not.
+    let mut worker = worker();
+    worker.make_report(NOW + Micros::secs(4), Micros::ZERO, String::new());
+    let report = worker.under_way.expect("a report");
+    worker.answered(NOW + Micros::secs(7), report, 5, vec![start("j-1/0", 1)], &jobs());
+    let low = worker.answered(NOW + Micros::secs(7), report, 4, vec![start("j-1/1", 1)], &jobs());
+    assert_eq!((low.len(), reported(&mut worker).len()), (0, 1));
+    let over = NOW + Micros::secs(4) + WORKER_LEASE;
+    let seen = worker.advance(over);
+    assert_eq!(worker.body(String::new()).session, 1, "{seen:?}");
+    worker.advance(over + Micros(1));
+    assert_eq!((worker.body(String::new()).session, reported(&mut worker).len()), (2, 0));
+    let late = worker.answered(over + Micros(2), report, 5, vec![start("j-1/2", 1)], &jobs());
+    assert_eq!((late.len(), reported(&mut worker).len()), (0, 0), "an earlier session's");
+}
+
+/// A machine that hangs goes on later; its lease runs on.
+#[test]
+fn hanging() {
+    // How long it hangs, when and how its task of five seconds is off.
+    let image = Micros::millis(300);
+    let table = [
+        (Micros::ZERO, image + Micros::secs(5), Off::Done),
+        (Micros::secs(2), image + Micros::secs(7), Off::Done),
+        (Micros::secs(20), WORKER_LEASE + Micros(1), Off::LeaseOver),
+    ];
+    for (hangs, after, want) in table {
+        let mut worker = worker();
+        worker.direct(NOW, direct(1, 1, vec![start("j-1/0", 1)]), &jobs());
+        worker.advance(NOW + image);
+        worker.hang(NOW + image, NOW + image + hangs);
+        let seen = worker.advance(NOW + Micros::secs(30));
+        let off = seen.iter().find_map(|(at, seen)| match seen {
+            Seen::Off { how, .. } => Some((*at, *how)),
+            _ => None,
+        });
+        assert_eq!(off, Some((NOW + after, want)), "{hangs:?}");
+    }
+}
+
+/// Transactions compare and change at once; keys go with their lease.
+#[test]
+fn state_service() {
+    let put = |key: &str, lease| Write::Put { key: key.into(), value: json!(1), lease };
+    let on = |key: &str, version| Condition { key: key.into(), version };
+    let mut state = StateService::default();
+    let lease = state.grant(NOW, Micros::secs(5));
+    // Conditions, writes, what becomes of it.
+    let table = [
+        (vec![on("a", 0)], vec![put("a", Some(lease))], Outcome::Applied(1)),
+        (vec![on("a", 0)], vec![put("a", None)], Outcome::Failed(vec!["a".into()])),
+        (vec![on("a", 1), on("b", 0)], vec![put("b", None), put("c", None)], Outcome::Applied(2)),
+        (vec![on("b", 2)], vec![], Outcome::Applied(2)),
+        (vec![], vec![put("d", Some(lease + 1))], Outcome::NoLease),
+        (vec![], vec![Write::Delete { key: "c".into() }], Outcome::Applied(3)),
+    ];
+    for (conditions, writes, want) in table {
+        let txn = Txn { conditions, writes };
+        assert_eq!(state.transact(&txn), want, "{txn:?}");
+    }
+    let versions = |state: &StateService| {
+        state.list("", None, 9).items.iter().map(|i| (i.key.clone(), i.version)).collect::<Vec<_>>()
+    };
+    assert_eq!(versions(&state), [("a".to_string(), 1), ("b".to_string(), 2)]);
+    assert!(state.extend(NOW + Micros::secs(4), lease));
+    assert!(!state.expire(NOW + Micros::secs(9)));
+    assert!(state.expire(NOW + Micros::secs(9) + Micros(1)));
+    assert_eq!(versions(&state), [("b".to_string(), 2)]);
+    assert!(!state.extend(NOW + Micros::secs(10), lease));
+    let changes = state.changes("", 2).expect("kept");
+    let gone: Vec<Option<&str>> = changes.iter().map(|c| c.delete.as_deref()).collect();
+    assert_eq!(gone, [Some("c"), Some("a")], "in order, with the lease's");
+}
+
+/// What each fault does to a message, and that it does so only while it is there.
+#[test]
+fn faults_and_messages() {
+    let some = SomeWorkers { of: 2, rest: 1 };
+    let report = Link::Report { worker: 1, controller: 0 };
+    let command = Link::Command { worker: 1, controller: 0 };
+    let peers = Link::Peer { from: 0, to: 1 };
+    let state = Link::State { controller: 0 };
+    let until = NOW + Micros::secs(3);
+    let later = Passage::At(until + Micros::millis(3));
+    let held = Micros::secs(30);
+    let all_held = Fault::HeldCommands { percent: 100, least: held, most: held };
+    let (request, answer) = (Direction::Request, Direction::Answer);
+    // Fault, link, direction, what becomes of the message.
+    let table = [
+        (Fault::CutPeers { controller: 1, cut: Cut::Held }, peers, request, later),
+        (Fault::CutPeers { controller: 2, cut: Cut::Held }, peers, request, Passage::At(NOW)),
+        (Fault::CutPeers { controller: 0, cut: Cut::Reset }, peers, request, Passage::Reset),
+        (Fault::CutOneWay { from: 0, to: 1 }, peers, request, later),
+        (Fault::CutOneWay { from: 1, to: 0 }, peers, request, Passage::At(NOW)),
+        (Fault::CutState { controller: 0, cut: Cut::Held }, state, request, later),
+        (Fault::CutState { controller: 1, cut: Cut::Held }, state, request, Passage::At(NOW)),
+        (Fault::CutWorkers { controller: 0, cut: Cut::Reset }, report, request, Passage::Reset),
+        (Fault::CutWorkers { controller: 1, cut: Cut::Reset }, report, request, Passage::At(NOW)),
+        (Fault::CutSome { workers: some, cut: Cut::Held }, command, request, later),
+        (Fault::Deaf { workers: some }, report, request, Passage::At(NOW)),
+        (Fault::Deaf { workers: some }, report, answer, Passage::Lost),
+        (Fault::Deaf { workers: some }, command, request, Passage::Lost),
+        (Fault::Mute { workers: some }, report, request, Passage::Reset),
+        (Fault::Mute { workers: some }, command, request, Passage::At(NOW)),
+        // Reports go on while commands are held.
+        (all_held, command, request, Passage::At(NOW + held)),
+        (all_held, command, answer, Passage::At(NOW)),
+        (all_held, report, request, Passage::At(NOW)),
+        (Fault::CutUsers { controller: 0 }, Link::User { controller: 0 }, request, Passage::Reset),
+        (Fault::RefuseAll, state, request, Passage::At(NOW)),
+    ];
+    let mut rng = StdRng::seed_from_u64(1);
+    for (fault, link, direction, want) in table {
+        let planned = [PlannedFault { at: NOW, until, fault }];
+        let got = pass(&planned, &mut rng, NOW, link, direction);
+        assert_eq!(got, want, "{fault:?} {link:?} {direction:?}");
+        for outside in [NOW - Micros(1), until] {
+            let got = pass(&planned, &mut rng, outside, link, direction);
+            assert_eq!(got, Passage::At(outside), "{fault:?} at {outside:?}");
+        }
+    }
+    // Fault, whether the call changes something, what becomes of it.
+    let table = [
+        (Fault::RefuseAll, false, Service::Refused),
+        (Fault::RefuseOne { controller: 0 }, false, Service::Refused),
+        (Fault::RefuseOne { controller: 1 }, false, Service::Served),
+        (Fault::LostAnswers { percent: 100 }, true, Service::AnswerLost),
+        (Fault::LostAnswers { percent: 100 }, false, Service::Served),
+        (Fault::LateWrites { percent: 100 }, false, Service::Served),
+    ];
+    for (fault, changes, want) in table {
+        let planned = [PlannedFault { at: NOW, until, fault }];
+        assert_eq!(serve(&planned, &mut rng, NOW, 0, changes), want, "{fault:?} {changes}");
+    }
+    let late = [PlannedFault { at: NOW, until, fault: Fault::LateWrites { percent: 100 } }];
+    let served = serve(&late, &mut rng, NOW, 0, true);
+    assert!(matches!(served, Service::Late(at) if at > NOW), "{served:?}");
+}
+
+/// The same seed draws the same, another one something else; faults overlap, and every
+/// kind of fault is drawn by some seed.
+#[test]
+fn drawn_by_the_seed() {
+    let over = Micros::secs(25);
+    let draw = |seed: u64| {
+        let mut rng = StdRng::seed_from_u64(seed);
+        (draw_faults(&mut rng, over, 3), draw_jobs(&mut rng, over, 24).plans)
+    };
+    assert!(draw(5) == draw(5));
+    assert!(draw(5) != draw(6));
+    let mut kinds = BTreeSet::new();
+    for seed in 0..200 {
+        let (faults, jobs) = draw(seed);
+        let overlap = |f: &PlannedFault| faults.iter().filter(|g| g.active(f.at)).count() > 1;
+        assert!(faults.iter().any(overlap), "seed {seed}");
+        let of_controllers = |f: &PlannedFault| f.settled(3) >= f.until || f.at < f.until;
+        assert!(faults.iter().all(of_controllers), "seed {seed}");
+        for fault in &faults {
+            let json = serde_json::to_value(fault).expect("JSON");
+            kinds.insert(json["fault"].as_str().expect("a kind").to_string());
+        }
+        assert!(jobs.values().any(|job| job.cancel_at.is_some()), "seed {seed}");
+        let before = |job: &JobPlan| job.upstream.iter().all(|up| jobs.contains_key(up));
+        assert!(jobs.values().all(before), "seed {seed}");
+    }
+    assert_eq!(kinds.len(), 24, "{kinds:?}");
+}
