--- a/crates/rehearsal/src/jobs.rs
+++ b/crates/rehearsal/src/jobs.rs
@@ -12,6 +12,11 @@
 const MOST_JOBS_PER_SECOND: f64 = 8.0;
 /// Workers for each job a second below that.
 const WORKERS_PER_JOB: f64 = 8.0;
+/// The team with the smallest limit, by its place in [`TEAMS`]. Its jobs are small, so that
+/// all of them fit within the limit in a run's time.
+const TIGHT_TEAM: usize = 0;
+const MOST_TASKS_OF_TIGHT_TEAM: u32 = 6;
+const LONGEST_OF_TIGHT_TEAM: Micros = Micros::secs(3);
 /// Parts of the jobs that are of a kind, in percent.
 const CALLED_OFF: u32 = 30;
 const WITH_UPSTREAM: u32 = 15;
@@ -136,12 +141,16 @@
         5..9 => rng.random_range(2..=8),
         _ => rng.random_range(8..=largest.max(9)),
     };
+    let team = [0, 1, 1, 2, 2, 2][rng.random_range(0..6)];
+    let small = team == TIGHT_TEAM;
+    let tasks = if small { tasks.min(MOST_TASKS_OF_TIGHT_TEAM) } else { tasks };
     let cpus = [1.0, 1.0, 2.0, 4.0][rng.random_range(0..4)];
     let runs = match rng.random_range(0..5) {
         0..3 => Micros::millis(rng.random_range(400..3_000)),
         3 => Micros::millis(rng.random_range(3_000..8_000)),
         _ => Micros::millis(rng.random_range(8_000..16_000)),
     };
+    let runs = if small { runs.min(LONGEST_OF_TIGHT_TEAM) } else { runs };
     let mistake = chance(rng, WITH_MISTAKE);
     // Most are called off soon, while their first starts are on their way.
     let soon = rng.random_range(0..3) > 0;
@@ -155,7 +164,7 @@
     let shape = rng.random_range(0..100);
     JobPlan {
         id,
-        team: [0, 1, 1, 2, 2, 2][rng.random_range(0..6)],
+        team,
         tasks,
         cpus,
         runs,
--- a/crates/rehearsal/src/world/setup.rs
+++ b/crates/rehearsal/src/world/setup.rs
@@ -78,6 +78,7 @@
             next_request: 0,
             faults: Vec::new(),
             calm: Micros::FAR,
+            last_progress: Micros::ZERO,
             history: History::default(),
             failures: Vec::new(),
             stalled: Micros::ZERO,
