--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -432,3 +432,38 @@
     assert!(matches!(&late[..], [StateReply::Conflict(_)]), "{late:?}");
     assert_eq!(shop.solo.get("quota/red").expect("grants").value["1"][0], json!(12.0));
 }
+
+/// A direct start that is on its way for longer than anybody waits: once its job is called
+/// off its worker refuses it, and goes on with all else.
+#[test]
+fn late_start_of_a_cancelled_job() {
+    // The job is called off, whether the start is refused when it comes.
+    for (called_off, refused) in [(true, true), (false, false)] {
+        let mut solo = Solo::ready("", &[]);
+        solo.add_machine();
+        solo.run(Micros::secs(5));
+        solo.holds_starts = true;
+        assert_eq!(solo.submit(&body("j-1")).status, 201);
+        if called_off {
+            assert_eq!(solo.abort("j-1").said(), (200, "cancelled"));
+        }
+        // Its sender gives it up, and the machine reports more than once.
+        solo.run(Micros::secs(20));
+        solo.holds_starts = false;
+        let begun: Vec<String> = std::mem::take(&mut solo.begun);
+        assert_eq!(begun.is_empty(), called_off, "{begun:?}");
+        let late = solo.deliver_held_commands();
+        assert_eq!(late, [if refused { 409 } else { 200 }], "called off: {called_off}");
+        assert_eq!(solo.begun, Vec::<String>::new(), "begun late");
+        let raised = solo.controller.status(solo.now)["counts"]["decisions"]["raised_tokens"]
+            .as_u64()
+            .expect("a count");
+        assert_eq!(raised, u64::from(refused), "no token is raised for nothing");
+
+        // What is sent directly from then on is executed.
+        assert_eq!(solo.submit(&body("j-2")).status, 201);
+        solo.run(Micros::millis(100));
+        assert_eq!(solo.begun, ["j-2/0", "j-2/1"], "called off: {called_off}");
+        assert_eq!(solo.refused_commands, 0, "called off: {called_off}");
+    }
+}
--- a/tests/solo/mod.rs
+++ b/tests/solo/mod.rs
@@ -19,7 +19,7 @@
 use millethold::peer::Frame;
 use millethold::state::{StateCall, StateReply};
 use millethold::time::Micros;
-use millethold::wire::{Item, Txn, Write};
+use millethold::wire::{Command, DirectCommands, Item, Txn, Write};
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -38,6 +38,8 @@
 /// How often workers look at what they run.
 const WORKS: Micros = Micros::millis(250);
 const STARTS_WITHIN: Micros = Micros::secs(10);
+/// The sender of direct commands waits for so long.
+const COMMAND_PATIENCE: Micros = Micros::secs(3);
 /// Users wait for so long.
 const PATIENCE: Micros = Micros::secs(5);
 
@@ -100,6 +102,11 @@
     pub lengths: BTreeMap<String, f64>,
     /// Tasks that were begun.
     pub begun: Vec<String>,
+    /// Direct commands with starts are held on their way; their sender gives them up.
+    pub holds_starts: bool,
+    /// Direct commands that workers refused.
+    pub refused_commands: usize,
+    held_commands: Vec<(usize, Vec<u8>)>,
     workers: Vec<Worker>,
     reports: BTreeMap<u64, (usize, Micros, u64)>,
     works_at: Micros,
@@ -198,6 +205,9 @@
             boots: false,
             lengths: BTreeMap::new(),
             begun: Vec::new(),
+            holds_starts: false,
+            refused_commands: 0,
+            held_commands: Vec::new(),
             workers: Vec::new(),
             reports: BTreeMap::new(),
             works_at: now,
@@ -330,11 +340,20 @@
             }
             Effect::Direct { id, address, body } => {
                 let worker = usize::from(address.port());
+                let sent: DirectCommands = serde_json::from_slice(&body).expect("commands");
+                let starts = sent.commands.iter().any(|c| matches!(c, Command::Start { .. }));
+                if self.holds_starts && starts {
+                    self.held_commands.push((worker, body));
+                    let reply = Reply::Direct(DirectReply::Unknown);
+                    let given_up = self.now + COMMAND_PATIENCE;
+                    return self.due.push((given_up, Event::Reply { id, reply }));
+                }
                 let reply = match self.workers.get_mut(worker).filter(|w| !w.gone) {
                     None => DirectReply::NotSent,
                     Some(w) => {
                         let (status, begun, body) = w.direct(self.now, worker, &body);
                         self.begun.extend(begun);
+                        self.refused_commands += usize::from(status != 200);
                         DirectReply::Answered { status, body }
                     }
                 };
@@ -413,6 +432,17 @@
         late.iter().map(|call| self.store.apply(self.now, call)).collect()
     }
 
+    /// Direct commands that were held arrive; tells how each is answered, to nobody.
+    pub fn deliver_held_commands(&mut self) -> Vec<u16> {
+        let mut statuses = Vec::new();
+        for (worker, body) in std::mem::take(&mut self.held_commands) {
+            let (status, begun, _) = self.workers[worker].direct(self.now, worker, &body);
+            self.begun.extend(begun);
+            statuses.push(status);
+        }
+        statuses
+    }
+
     /// Another controller, or nobody any more, changes a key.
     pub fn put(&mut self, key: &str, value: Value) {
         let write = Write::Put { key: key.into(), value, lease: None };
