--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -467,3 +467,42 @@
         assert_eq!(solo.refused_commands, 0, "called off: {called_off}");
     }
 }
+
+/// Tasks that were given up before they began stay stored as placed until their end is
+/// written. A process that reads them meanwhile begins them; until then they count against
+/// the team's limit, and nothing takes their place.
+#[test]
+fn given_up_before_it_began() {
+    const LIMIT: u32 = 14;
+    let red = |id: &str, urgency: &str, tasks: u32| {
+        let mut body = body(id);
+        body["crew"] = json!("red");
+        body["urgency"] = json!(urgency);
+        body["planks"] = json!(tasks);
+        body
+    };
+    // When the process ends, in milliseconds after the urgent job came.
+    for ends_after in (0..12_000).step_by(250) {
+        let mut solo = Solo::ready("", &[]);
+        (0..6).for_each(|_| solo.add_machine());
+        solo.lengths.insert("j-1".into(), 60.0);
+        solo.lengths.insert("j-2".into(), 60.0);
+        solo.run(Micros::secs(5));
+        solo.holds_starts = true;
+        assert_eq!(solo.submit(&red("j-1", "low", LIMIT)).status, 201);
+        while solo.placed() < u64::from(LIMIT) {
+            solo.run(Micros::millis(10));
+        }
+        assert_eq!(solo.submit(&red("j-2", "high", 5)).status, 201);
+        // Machines that answer, for what takes the place of what was given up.
+        (0..2).for_each(|_| solo.add_machine());
+        solo.run(Micros::millis(ends_after));
+        solo.holds_starts = false;
+        solo.restart();
+        for _ in 0..200 {
+            solo.run(Micros::millis(50));
+            let present = solo.present();
+            assert!(present <= LIMIT as usize, "ended after {ends_after} ms: {present} tasks");
+        }
+    }
+}
--- a/tests/solo/mod.rs
+++ b/tests/solo/mod.rs
@@ -35,6 +35,8 @@
 /// A controller that can take requests does so by then.
 /// The run: another than that of the process which left the fixtures.
 const RUN: u64 = 8;
+/// Time of day at which the controller's clock begins.
+const TIME_OF_DAY: Micros = Micros::secs(1_000_000);
 /// How often workers look at what they run.
 const WORKS: Micros = Micros::millis(250);
 const STARTS_WITHIN: Micros = Micros::secs(10);
@@ -87,6 +89,8 @@
 /// A controller and what surrounds it.
 pub struct Solo {
     pub now: Micros,
+    config: Config,
+    run: u64,
     pub controller: Controller,
     /// What becomes of a call.
     pub outcome: Box<dyn FnMut(&StateCall) -> Outcome>,
@@ -194,10 +198,12 @@
             let txn = Txn { conditions: Vec::new(), writes: vec![write] };
             store.apply(now, &StateCall::Txn(txn));
         }
-        let wall = Micros::secs(1_000_000);
+        let wall = TIME_OF_DAY;
         Solo {
             now,
             controller: Controller::new(&config, Options::default(), RUN, wall),
+            config,
+            run: RUN,
             outcome: Box::new(|_| Outcome::Served),
             watches_hang: false,
             calls: Vec::new(),
@@ -231,6 +237,23 @@
         solo
     }
 
+    /// The process ends and is back at once: all that it knew is gone.
+    pub fn restart(&mut self) {
+        self.run += 1;
+        self.controller = Controller::new(&self.config, Options::default(), self.run, TIME_OF_DAY);
+        self.due.clear();
+        self.watches.clear();
+        self.held.clear();
+        self.reports.clear();
+        self.workers.iter_mut().for_each(|w| w.in_flight = None);
+        self.start();
+    }
+
+    /// Tasks that are on machines.
+    pub fn present(&self) -> usize {
+        self.workers.iter().filter(|w| !w.gone).map(|w| w.present().count()).sum()
+    }
+
     /// Runs until it takes requests.
     pub fn start(&mut self) {
         let end = self.now + STARTS_WITHIN;
@@ -526,6 +549,11 @@
         self.feed(Event::Peer { from, frame: Box::new(frame) });
     }
 
+    /// Tasks that it has put on machines so far.
+    pub fn placed(&self) -> u64 {
+        self.controller.status(self.now)["counts"]["placed"].as_u64().unwrap_or_default()
+    }
+
     /// Jobs that it runs.
     pub fn jobs(&self) -> u64 {
         self.controller.status(self.now)["jobs"].as_u64().unwrap_or_default()
