What is given up before it began counts against the limit until its end is stored

An attempt of which its machine knows nothing (refused by its manager, or stopped before its start was executed) freed its part of the team's limit as soon as its owner knew; until its end was written a later holder of the shard would read it as placed and begin it, beside what had taken its place. Change: such ends keep their part of the limit, and their zone for together and apart, until they are stored; ends that machines list, and those of sessions that are over, free it at once as before.

--- a/src/controller/desired_state.rs
+++ b/src/controller/desired_state.rs
@@ -91,8 +91,9 @@
                 let phase = if p.version <= stored { Phase::Wanted } else { Phase::Ahead };
                 list.push(wanted(p, phase));
             }
-            for (_, i, p) in &part.releasing {
-                if *i == index && p.machine == *machine && p.version <= stored {
+            for ended in &part.releasing {
+                let p = &ended.placement;
+                if ended.index == index && p.machine == *machine && p.version <= stored {
                     list.push(wanted(p, Phase::Over));
                 }
             }
--- a/src/controller/job/mod.rs
+++ b/src/controller/job/mod.rs
@@ -10,7 +10,7 @@
 mod stored;
 
 pub use keys::*;
-pub use part::{MAX_SPEC_BYTES, Part, PartSize, Placement};
+pub use part::{EndedAttempt, MAX_SPEC_BYTES, Part, PartSize, Placement, TaskEnd};
 pub use stored::{StoredPlacement, batch_is_sound, decode_batch, encode_batch, stored_placements};
 
 use crate::peer::{ObservedState, Shape};
@@ -213,11 +213,19 @@
         }
     }
 
-    /// Tasks that count against the team's limit.
+    /// Tasks on machines, or about to be.
     pub fn booked(&self) -> u32 {
         self.parts.iter().map(|p| p.placed.len() as u32).sum()
     }
 
+    /// Tasks that count against the team's limit: also those that were given up before
+    /// they began, until that is stored. A later holder would begin them, beside whatever
+    /// had taken their place.
+    pub fn limited_tasks(&self) -> u32 {
+        let ended: usize = self.parts.iter().map(|p| p.may_begin().count()).sum();
+        self.booked() + ended as u32
+    }
+
     /// The first task to be placed, in a part whose value has room for it.
     pub fn first_pending(&self) -> Option<u32> {
         let room = |n: usize| if n == 0 { self.first_room } else { self.room };
@@ -286,13 +294,15 @@
 
     /// Ends a task's attempt, in memory. The attempt stays in the desired state,
     /// and so uncleared, until the end is stored.
-    pub fn end(&mut self, index: u32, done: bool) -> Option<Placement> {
+    pub fn end(&mut self, index: u32, end: TaskEnd) -> Option<Placement> {
         let part = self.part_of(index)?;
         let placement = part.placed.remove(&index)?;
         part.bytes -= placement.bytes.min(part.bytes);
         part.version += 1;
-        part.releasing.push((part.version, index, placement.clone()));
-        if done {
+        let (version, ended) = (part.version, placement.clone());
+        let may_begin = end.may_begin;
+        part.releasing.push(EndedAttempt { version, index, placement: ended, may_begin });
+        if end.observed == ObservedState::Done {
             part.done.insert(index);
         } else {
             part.pending.insert(index);
@@ -329,7 +339,8 @@
         if !self.spec.one_zone && !self.spec.spread {
             return zones;
         }
-        for p in self.parts.iter().flat_map(|p| p.placed.values()) {
+        // What a later holder would begin counts, too.
+        for p in self.parts.iter().flat_map(|part| part.placed.values().chain(part.may_begin())) {
             *zones.entry(Rc::clone(&p.zone)).or_insert(0) += 1;
         }
         zones
--- a/src/controller/job/part.rs
+++ b/src/controller/job/part.rs
@@ -83,6 +83,47 @@
     pub(super) bytes: usize,
 }
 
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TaskEnd {
+    /// Its state then.
+    pub observed: ObservedState,
+    /// Its machine does not know it, and is still in the session that it was meant for.
+    pub may_begin: bool,
+}
+
+impl TaskEnd {
+    /// Nothing can begin it any more, whoever reads that it was placed.
+    pub fn known(observed: ObservedState) -> TaskEnd {
+        TaskEnd { observed, may_begin: false }
+    }
+
+    /// Its machine's manager lists it. A refusal may be the manager's own, of which the
+    /// machine knows nothing.
+    pub fn listed(observed: ObservedState) -> TaskEnd {
+        TaskEnd { observed, may_begin: observed == ObservedState::Refused }
+    }
+
+    /// It was given up before it began.
+    pub fn never_begun() -> TaskEnd {
+        TaskEnd { observed: ObservedState::Stopped, may_begin: true }
+    }
+}
+
+/// An attempt that has ended, while its end is not stored yet.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndedAttempt {
+    /// Version of the part that will say so.
+    pub version: u64,
+    /// Task.
+    pub index: u32,
+    /// Where it was.
+    pub placement: Placement,
+    /// Its machine does not know it, in the session that it was meant for: a later holder
+    /// that reads it as placed would begin it.
+    pub may_begin: bool,
+}
+
 /// A part of a job's tasks.
 #[derive(Debug, Clone, Default)]
 pub struct Part {
@@ -90,8 +131,8 @@
     pub pending: BTreeSet<u32>,
     /// Tasks on machines, or about to be.
     pub placed: BTreeMap<u32, Placement>,
-    /// Ended attempts whose end is not stored yet, with the version that will.
-    pub releasing: Vec<(u64, u32, Placement)>,
+    /// Ended attempts whose end is not stored yet.
+    pub releasing: Vec<EndedAttempt>,
     /// Tasks that have completed.
     pub done: BTreeSet<u32>,
     /// Highest attempt given out; one counter for all tasks of the part.
@@ -129,6 +170,11 @@
         self.put > self.stored
     }
 
+    /// Ended attempts that a later holder would begin, as long as their end is not stored.
+    pub fn may_begin(&self) -> impl Iterator<Item = &Placement> {
+        self.releasing.iter().filter(|ended| ended.may_begin).map(|ended| &ended.placement)
+    }
+
     /// True if it is worth a change though no start waits for it: until the ends in
     /// it are stored, machines and controllers keep the tasks.
     pub fn mostly_ended(&self) -> bool {
--- a/src/controller/job/stored.rs
+++ b/src/controller/job/stored.rs
@@ -135,7 +135,7 @@
     /// others: an attempt whose end is not stored is still among them.
     pub fn encode_stored(&self, n: usize) -> Value {
         let part = &self.parts[n];
-        let ended = part.releasing.iter().map(|(_, i, p)| (i, p));
+        let ended = part.releasing.iter().map(|ended| (&ended.index, &ended.placement));
         let all = part.placed.iter().chain(ended);
         self.encode(n, part.stored, all.filter(|(_, p)| p.version <= part.stored).collect())
     }
--- a/src/controller/job_manager.rs
+++ b/src/controller/job_manager.rs
@@ -2,7 +2,7 @@
 //! written down, and what is therefore wanted on machines.
 
 use super::Controller;
-use super::job::Job;
+use super::job::{Job, TaskEnd};
 use crate::peer::{MachineView, ObservedState, Preempt};
 use crate::time::Micros;
 use log::info;
@@ -53,7 +53,7 @@
         let machine = Rc::clone(&p.machine);
         if self.terminated.contains(&*machine) {
             self.counts.lost += 1;
-            return self.end_task(id, index, ObservedState::Stopped);
+            return self.end_task(id, index, TaskEnd::known(ObservedState::Stopped));
         }
         // A view of an earlier holder proves nothing any more: the present one
         // may begin what that one had refused.
@@ -68,7 +68,7 @@
         let ended = if view.over_through >= p.session || vanished || view.session > p.session {
             // Its session is surely over, and everything in it.
             self.counts.lost += 1;
-            Some(ObservedState::Stopped)
+            Some(TaskEnd::known(ObservedState::Stopped))
         } else if !view.known || view.session != p.session {
             None
         } else {
@@ -78,7 +78,7 @@
                 .find(|t| t.attempt == p.attempt && t.index == index && t.job == id)
                 .map(|t| t.observed());
             match found {
-                Some(observed) if observed.over() => Some(observed),
+                Some(observed) if observed.over() => Some(TaskEnd::listed(observed)),
                 Some(observed) => {
                     if p.observed != Some(observed) {
                         p.observed = Some(observed);
@@ -102,12 +102,12 @@
                     let stopped = p
                         .stop_seq
                         .is_some_and(|q| applied.is_some_and(|h| h.term == term && h.seq >= q));
-                    stopped.then_some(ObservedState::Stopped)
+                    stopped.then_some(TaskEnd::never_begun())
                 }
             }
         };
         match ended {
-            Some(observed) => self.end_task(id, index, observed),
+            Some(end) => self.end_task(id, index, end),
             None => self.handle_spot_notice(id, index),
         }
     }
@@ -243,12 +243,13 @@
         self.place_wanted = true;
     }
 
-    pub(super) fn end_task(&mut self, id: &str, index: u32, observed: ObservedState) {
+    pub(super) fn end_task(&mut self, id: &str, index: u32, end: TaskEnd) {
+        let observed = end.observed;
         let now = self.now;
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let Some(p) = job.end(index, observed == ObservedState::Done) else {
+        let Some(p) = job.end(index, end) else {
             return;
         };
         log::debug!("task {id}/{index} ended on {}: {observed:?}", p.machine);
--- a/src/controller/job_writer.rs
+++ b/src/controller/job_writer.rs
@@ -1,7 +1,7 @@
 //! What is written down of own jobs: which changes go into which transaction, and
 //! what follows from the state service's answers.
 
-use super::job::{self, Job, JobRecord, StoredStage};
+use super::job::{self, Job, JobRecord, StoredStage, TaskEnd};
 use super::shard;
 use super::{CachedStage, Controller, Op};
 use crate::peer::ObservedState;
@@ -232,7 +232,7 @@
         for n in parts {
             let unstored = self.jobs.get(id).map_or(Vec::new(), |job| job.unstored_tasks(*n));
             for index in unstored {
-                self.end_task(id, index, ObservedState::Stopped);
+                self.end_task(id, index, TaskEnd::known(ObservedState::Stopped));
             }
             if let Some(job) = self.jobs.get_mut(id) {
                 let part = &mut job.parts[*n];
@@ -414,9 +414,11 @@
             let fresh = part.placed.iter().filter(|(_, p)| p.version > before);
             touched.extend(fresh.map(|(i, p)| (Rc::clone(&p.machine), *i)));
             let stored = part.stored;
-            let ended = part.releasing.iter().filter(|(v, _, _)| *v <= stored);
-            touched.extend(ended.map(|(_, i, p)| (Rc::clone(&p.machine), *i)));
-            part.releasing.retain(|(v, _, _)| *v > stored);
+            let ended = part.releasing.iter().filter(|ended| ended.version <= stored);
+            // What they held of the limit is free only now.
+            self.place_wanted |= ended.clone().any(|ended| ended.may_begin);
+            touched.extend(ended.map(|e| (Rc::clone(&e.placement.machine), e.index)));
+            part.releasing.retain(|ended| ended.version > stored);
         }
         for n in drops {
             job.parts[*n].mark = 0;
@@ -430,8 +432,8 @@
             job.over = true;
             self.counts.done += 1;
             for part in &mut job.parts {
-                for (_, i, p) in part.releasing.drain(..) {
-                    touched.push((p.machine, i));
+                for ended in part.releasing.drain(..) {
+                    touched.push((ended.placement.machine, ended.index));
                 }
             }
             let tasks = job.spec.tasks;
@@ -454,7 +456,10 @@
             return;
         };
         let here = part.placed.get(&index).is_some_and(|p| p.machine == *machine)
-            || part.releasing.iter().any(|(_, i, p)| *i == index && p.machine == *machine);
+            || part
+                .releasing
+                .iter()
+                .any(|ended| ended.index == index && ended.placement.machine == *machine);
         if here {
             return;
         }
--- a/src/controller/placer.rs
+++ b/src/controller/placer.rs
@@ -62,7 +62,7 @@
     pub(super) fn shard_usage(&self, s: usize, team: &str) -> Amount {
         let mut used = [0.0, 0.0];
         for j in self.jobs.values().filter(|j| j.shard == s && j.spec.team == team) {
-            let n = f64::from(j.booked());
+            let n = f64::from(j.limited_tasks());
             used[0] += n * j.spec.cpus;
             used[1] += n * j.spec.gpus;
         }
--- a/tests/tables/jobs.rs
+++ b/tests/tables/jobs.rs
@@ -2,8 +2,9 @@
 
 use super::submission;
 use millethold::controller::job::{
-    self, Job, PartSize, batch_key, decode_batch, encode_batch, is_batch,
+    self, Job, PartSize, TaskEnd, batch_key, decode_batch, encode_batch, is_batch,
 };
+use millethold::peer::ObservedState;
 use millethold::time::Micros;
 use millethold::wire;
 use serde_json::{Value, json};
@@ -20,13 +21,13 @@
     assert_eq!(j.put(now, 6, "vm-1", 3, "a"), Some(1));
     assert_eq!(j.put(now, 6, "vm-2", 3, "a"), None, "placed already");
     assert_eq!(j.put(now, 7, "vm-1", 3, "a"), Some(2));
-    assert!(j.end(7, false).is_some());
+    assert!(j.end(7, TaskEnd::known(ObservedState::Stopped)).is_some());
     assert_eq!(j.put(now, 7, "vm-2", 1, "b"), Some(3), "attempts are never given out twice");
-    assert!(j.end(6, true).is_some());
-    assert!(j.end(6, true).is_none(), "it has ended already");
+    assert!(j.end(6, TaskEnd::known(ObservedState::Done)).is_some());
+    assert!(j.end(6, TaskEnd::known(ObservedState::Done)).is_none(), "it has ended already");
     for i in [0, 1, 2, 4] {
         j.put(now, i, "vm-3", 1, "a");
-        j.end(i, true);
+        j.end(i, TaskEnd::known(ObservedState::Done));
     }
     let stored: BTreeMap<usize, (Value, u64)> =
         [0, 1].into_iter().map(|n| (n, (j.encode_part(n), 20 + n as u64))).collect();
@@ -66,7 +67,7 @@
         // Every other task has completed, which is the longest list.
         for i in (0..size.tasks).step_by(2) {
             j.put(now, i, "vm-1", 1, "a");
-            j.end(i, true);
+            j.end(i, TaskEnd::known(ObservedState::Done));
         }
         let mut placed = 0;
         while let Some(i) = j.first_pending().filter(|i| *i < size.tasks * 2) {
@@ -169,3 +170,34 @@
         assert_eq!(j.rank(), rank, "{urgency}, {raised}");
     }
 }
+
+/// What counts against the team's limit, and for `together` and `apart`: what a later holder
+/// would begin counts until its end is stored.
+#[test]
+fn ended_attempts_that_count() {
+    use ObservedState::{Done, Failed, Refused, Stopped};
+    // How its attempt ended, whether it still counts.
+    let table = [
+        ("completed", TaskEnd::listed(Done), false),
+        ("failed", TaskEnd::listed(Failed), false),
+        ("stopped, and listed as such", TaskEnd::listed(Stopped), false),
+        ("its session is over", TaskEnd::known(Stopped), false),
+        ("refused, perhaps by its manager", TaskEnd::listed(Refused), true),
+        ("given up before it began", TaskEnd::never_begun(), true),
+    ];
+    for (name, end, counts) in table {
+        let mut body = submission();
+        body["together"] = json!(true);
+        let spec = wire::parse_job(body.to_string().as_bytes()).expect("a good submission");
+        let size = PartSize { tasks: 5, bytes: 1_000, described: false };
+        let mut j = Job::new(Rc::new(spec), 2, 9, Micros::secs(77), size);
+        j.put(Micros::secs(3), 6, "vm-1", 3, "a");
+        assert_eq!((j.limited_tasks(), j.zones().len()), (1, 1), "{name}: placed");
+        assert!(j.end(6, end).is_some());
+        let still = u32::from(counts);
+        assert_eq!(j.booked(), 0, "{name}");
+        assert_eq!((j.limited_tasks(), j.zones().len() as u32), (still, still), "{name}: ended");
+        j.parts[1].releasing.clear();
+        assert_eq!((j.limited_tasks(), j.zones().len()), (0, 0), "{name}: stored");
+    }
+}
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -2,9 +2,9 @@
 //! wrote it: this one reads it, and writes the same where no job needs another.
 
 use millethold::controller::job::{
-    self, Job, JobRecord, PartSize, StoredStage, decode_batch, encode_batch,
+    self, Job, JobRecord, PartSize, StoredStage, TaskEnd, decode_batch, encode_batch,
 };
-use millethold::peer::{self, InheritedUrgency};
+use millethold::peer::{self, InheritedUrgency, ObservedState};
 use millethold::time::Micros;
 use millethold::wire::{self, JobSpec};
 use prost::Message;
@@ -53,7 +53,7 @@
     {
         job.put(wall, task, machine, session, zone);
     }
-    job.end(5, true);
+    job.end(5, TaskEnd::known(ObservedState::Done));
     assert_eq!(job.encode_part(0), part());
     let bundle = json!({ "jobs": [part()] });
     assert_eq!(encode_batch(vec![job.encode_part(0)]), bundle);
@@ -110,7 +110,7 @@
         assert!(job.booked() >= 2 * size.tasks, "only {} of {}", job.booked(), 3 * size.tasks);
         // As some end, others have room.
         let first: Vec<u32> = job.parts[0].placed.keys().copied().collect();
-        first.iter().for_each(|i| drop(job.end(*i, true)));
+        first.iter().for_each(|i| drop(job.end(*i, TaskEnd::known(ObservedState::Done))));
         assert!(job.pending() == 0 || job.first_pending().is_some());
     }
 }
