Untie part and stored, and read the state service's calls as the service's own type

Need: job/part and job/stored imported each other; the kit had a second type for the calls of the state service. Change: names of machines stand in a file of their own; the kit reads requests into StateCall. No behaviour changes.

--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -27,12 +27,13 @@
 use crate::relay::Relays;
 use crate::report::{Failure, RunReport};
 use crate::rules;
-use crate::state_calls::{Answer, Call};
+use crate::state_calls::Answer;
 use crate::state_service::StateService;
 use crate::worker::{ReportUnderWay, Worker};
 use calloop::EventLoop;
 use machines::ReportConnection;
 use millethold::http::Request;
+use millethold::state::StateCall;
 use millethold::time::Micros;
 use millethold::wire::DirectCommands;
 use outside::Watch;
@@ -56,9 +57,9 @@
 /// Something that is to happen at a certain time.
 enum Action {
     /// A call reaches the state service.
-    StateCall { connection: ConnectionId, controller: usize, call: Call },
+    StateCall { connection: ConnectionId, controller: usize, call: StateCall },
     /// A transaction is carried out whose answer nobody awaits.
-    LateCall { call: Call },
+    LateCall { call: StateCall },
     /// A call reaches the cloud.
     CloudCall { connection: ConnectionId, controller: usize, request: Request },
     /// Direct commands reach a worker.
--- a/crates/rehearsal/src/world/outside.rs
+++ b/crates/rehearsal/src/world/outside.rs
@@ -5,8 +5,9 @@
 use crate::faults::Fault;
 use crate::links::{self, Direction, Link, Passage, Service};
 use crate::net::ConnectionId;
-use crate::state_calls::{Answer, Call, nothing_changed};
+use crate::state_calls::{self, Answer, nothing_changed};
 use millethold::http::Request;
+use millethold::state::StateCall;
 use millethold::time::Micros;
 use rand::RngExt;
 use serde_json::json;
@@ -19,14 +20,14 @@
 pub(super) struct Watch {
     pub(super) connection: ConnectionId,
     controller: usize,
-    call: Call,
+    call: StateCall,
     until: Micros,
 }
 
 impl World {
     /// A controller sends a call to the state service.
     pub(super) fn state_request(&mut self, id: ConnectionId, controller: usize, asked: &Request) {
-        let Some(call) = Call::read(asked) else {
+        let Some(call) = state_calls::read(asked) else {
             return self.net.answer(id, 400, b"{\"error\":\"malformed\"}");
         };
         match self.pass(Link::State { controller }, Direction::Request) {
@@ -39,8 +40,8 @@
     }
 
     /// A call arrives at the state service.
-    pub(super) fn state_call(&mut self, id: ConnectionId, controller: usize, call: Call) {
-        let changes = call.changes_keys();
+    pub(super) fn state_call(&mut self, id: ConnectionId, controller: usize, call: StateCall) {
+        let changes = call.puts() > 0;
         match links::serve(&self.faults, &mut self.rng, self.now, controller, changes) {
             Service::Refused => {
                 let trouble = Answer::new(503, &json!({ "error": "trouble" }));
@@ -48,17 +49,17 @@
             }
             Service::Late(at) => self.at(at, Action::LateCall { call }),
             Service::AnswerLost => {
-                call.carry_out(self.now, &mut self.state);
+                state_calls::carry_out(&call, self.now, &mut self.state);
                 self.wake_watches();
             }
-            Service::Served => match call.carry_out(self.now, &mut self.state) {
+            Service::Served => match state_calls::carry_out(&call, self.now, &mut self.state) {
                 Some(answer) => {
                     self.answer_state(id, controller, answer);
                     self.wake_watches();
                 }
                 None => {
                     let block = match &call {
-                        Call::Follow { block, .. } => *block,
+                        StateCall::Follow { block, .. } => *block,
                         _ => Micros::ZERO,
                     };
                     let until = self.now + block;
@@ -70,12 +71,12 @@
     }
 
     /// A transaction that its caller has given up is carried out.
-    pub(super) fn late_call(&mut self, call: Call) {
+    pub(super) fn late_call(&mut self, call: StateCall) {
         let outage = self.outage_until();
         if outage > self.now {
             return self.at(outage, Action::LateCall { call });
         }
-        call.carry_out(self.now, &mut self.state);
+        state_calls::carry_out(&call, self.now, &mut self.state);
         self.wake_watches();
     }
 
@@ -104,7 +105,7 @@
                 waiting.push(watch);
                 continue;
             }
-            let answer = match watch.call.carry_out(now, &mut self.state) {
+            let answer = match state_calls::carry_out(&watch.call, now, &mut self.state) {
                 None if watch.until <= now => Some(nothing_changed(&self.state)),
                 answer => answer,
             };
--- a/src/controller/job/mod.rs
+++ b/src/controller/job/mod.rs
@@ -6,6 +6,7 @@
 //! has not been written yet and nobody may act on it.
 
 mod keys;
+mod names;
 mod part;
 mod stored;
 
--- a/src/controller/job/part.rs
+++ b/src/controller/job/part.rs
@@ -1,6 +1,6 @@
 //! Parts of a job's tasks, and how many of them a value of the state service holds.
 
-use super::stored::split_name;
+use super::names::split_name;
 use crate::peer::ObservedState;
 use crate::time::Micros;
 use crate::wire::JobSpec;
--- a/src/controller/job/stored.rs
+++ b/src/controller/job/stored.rs
@@ -1,6 +1,7 @@
 //! How jobs stand in the state service's values: parts, batches, and how they are
 //! read again. Field names are a letter each, since values are small.
 
+use super::names::{join_name, split_name};
 use super::part::stored_bytes;
 use super::{Job, PartSize, Placement};
 use crate::time::Micros;
@@ -72,21 +73,6 @@
     at as u64
 }
 
-/// A name as a beginning and a number that ends it: machines' names differ
-/// mostly in the number. Only a number that reads back the same is split off.
-pub(super) fn split_name(name: &str) -> (&str, usize, u64) {
-    let head = name.trim_end_matches(|c: char| c.is_ascii_digit());
-    let width = name.len() - head.len();
-    match name[head.len()..].parse() {
-        Ok(number) if width <= 15 => (head, width, number),
-        _ => (name, 0, 0),
-    }
-}
-
-fn join_name(head: &str, width: usize, number: u64) -> String {
-    if width == 0 { head.to_string() } else { format!("{head}{number:0width$}") }
-}
-
 /// The value of a batch: part 0 of each of its jobs, as it would stand alone.
 pub fn encode_batch(parts: Vec<Value>) -> Value {
     serde_json::json!({ "jobs": parts })
