--- a/review/standins/users.py
+++ b/review/standins/users.py
@@ -45,6 +45,7 @@
         one is on the connection of `other`, a user of the same client, or on a new one. The
         connection of the last answer is kept for the polls."""
         begun = now()
+        self.record.write(f"user of {self.ref}: will submit {self.submission}")
         while now() - begun < 60.0:
             pause = 1.0
             if self.connection is None and not self.connect():
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -148,6 +148,7 @@
                 self.halt(plank, number, order["windDownS"])
             elif self.attempts.get((plank, number), {}).get("stage") == "ended":
                 del self.attempts[(plank, number)]
+                self.record.write(f"{self.name} got clear {plank} try {number}")
                 self.wake.set()
 
     def see(self, baton):
@@ -179,7 +180,9 @@
         command = json.loads(body)
         if "baton" not in command or "shift" not in command:
             return 400, {}
+        self.record.write(f"{self.name} POST /do {body.decode()}")
         if command["baton"] < self.baton or command["shift"] != self.shift:
+            self.record.write(f"{self.name} answers 409")
             return 409, self.report()
         self.see(command["baton"])
         self.direct.append(body)
