Keep accepted jobs that do not run until they can be recovered

Cause: the record of an accepted job arrives once. The shard's leader recovered the job at that moment or never: recover_unlisted_job dropped the event if its controller lease was not valid just then. The renewal that makes it valid again comes by another connection, and nothing names the job later.

Change: the leader keeps such jobs, whatever its lease, and each tick compares them with the jobs that run (unlisted_jobs.rs). That is a state, not an event, so it does not matter when the record comes. One listing at a time, so no page can undo another's beginning.

--- a/src/controller/api/admission/outcome.rs
+++ b/src/controller/api/admission/outcome.rs
@@ -28,16 +28,10 @@
         match reply {
             KvResponse::Applied(revision) => self.group_accepted(group, revision),
             KvResponse::Conflict(failed_keys) => self.group_refused(group, &failed_keys),
-            // The transaction may still be applied, and the watch then delivers the jobs. If it
-            // has delivered them already, they were not recovered, since this admission was in
-            // flight; so they are recovered now.
+            // The transaction may still be applied, or has been. The watch delivers the jobs'
+            // records, and what it has delivered already is recovered from the next tick on.
             _ => {
                 for submission in group.submissions {
-                    let id = &submission.spec.id;
-                    let cached = self.jobs.stage_cache.get(id);
-                    if let Some(cached) = cached.filter(|c| !c.is_final()) {
-                        self.recover_unlisted_job(id, cached.shard);
-                    }
                     self.respond_retry_later(submission.ticket, 503, "state service away");
                 }
             }
--- a/src/controller/api/record_reads.rs
+++ b/src/controller/api/record_reads.rs
@@ -91,7 +91,7 @@
             // The acceptance may have been applied after its call was given up, while a retry
             // of the submission was in flight or the shard was being recovered. Unless it is
             // recovered, no controller runs the job.
-            StoredStage::Accepted => self.recover_unlisted_job(job, cached.shard),
+            StoredStage::Accepted => self.observe_accepted_job(job, cached.shard),
             StoredStage::Done => {}
         }
         RecordRead::Found { cached, revision }
--- a/src/controller/api/status.rs
+++ b/src/controller/api/status.rs
@@ -23,6 +23,8 @@
     kv_store_limits: KvStoreLimitsStatus,
     shards: Vec<ShardStatus<'a>>,
     jobs: usize,
+    /// Accepted jobs of led shards that this process does not run yet.
+    unlisted_jobs: usize,
     #[serde(rename = "jobs_that_need_others")]
     jobs_with_dependencies: usize,
     #[serde(rename = "tasks_waiting")]
@@ -127,6 +129,7 @@
             kv_store_limits: self.kv_store_limits_status(),
             shards: self.shard_statuses(),
             jobs: self.jobs.by_id.len(),
+            unlisted_jobs: self.leadership.unlisted_job_count(),
             jobs_with_dependencies: self
                 .jobs
                 .by_id
--- a/src/controller/leadership/acquisition.rs
+++ b/src/controller/leadership/acquisition.rs
@@ -170,7 +170,7 @@
 
 impl Controller {
     /// Renews the controller lease, keeps the shard list and the watches up to date, acquires and
-    /// hands over shards, and continues recoveries.
+    /// hands over shards, recovers unlisted jobs, and continues recoveries.
     pub(crate) fn maintain_leadership(&mut self) {
         let now = self.context.now;
         self.leadership.controller_lease.renew_if_due(&mut self.context);
@@ -184,6 +184,7 @@
                 self.maintain_shard(shard);
             }
         }
+        self.recover_unlisted_jobs();
         self.continue_recoveries();
     }
 
--- a/src/controller/leadership/handover.rs
+++ b/src/controller/leadership/handover.rs
@@ -42,6 +42,7 @@
     fn end_leading(&mut self, shard: usize) -> Option<ShardLeadership> {
         let leadership = self.shards[shard].leadership.take()?;
         self.recoveries.remove(&shard);
+        self.unlisted_jobs.forget_shard(shard);
         Some(leadership)
     }
 
--- a/src/controller/leadership/mod.rs
+++ b/src/controller/leadership/mod.rs
@@ -17,6 +17,7 @@
 mod recovered_jobs;
 mod recovery;
 mod replies;
+mod unlisted_jobs;
 mod watch_events;
 mod watches;
 
@@ -27,6 +28,7 @@
 use recovery::ShardRecovery;
 use shard::{Shard, ShardLeadership};
 use std::collections::BTreeMap;
+use unlisted_jobs::UnlistedJobs;
 use watches::Watches;
 
 /// Leadership of this process and, as last observed, of the other members.
@@ -41,6 +43,7 @@
     shard_list_in_flight: bool,
     /// Recoveries in progress, by shard.
     recoveries: BTreeMap<usize, ShardRecovery>,
+    unlisted_jobs: UnlistedJobs,
     watches: Watches,
     /// Time of the last tick at which this process held its controller lease.
     lease_last_held_at: Micros,
@@ -57,6 +60,7 @@
             shards_up_to_date: false,
             shard_list_in_flight: false,
             recoveries: BTreeMap::new(),
+            unlisted_jobs: UnlistedJobs::default(),
             watches: Watches::default(),
             lease_last_held_at: Micros::ZERO,
             held_lease_at_last_tick: false,
@@ -149,6 +153,11 @@
         self.holds_lease(now) && self.led_shard(shard).is_some_and(runs)
     }
 
+    /// Number of accepted jobs of led shards that this process does not run yet.
+    pub(crate) fn unlisted_job_count(&self) -> usize {
+        self.unlisted_jobs.len()
+    }
+
     /// Records a peer's claim that it leads a shard under `term`. Returns true if this process
     /// leads the shard under a lower term and must step down.
     pub(crate) fn observe_claim(&mut self, shard: usize, term: u64) -> bool {
--- a/src/controller/leadership/recovered_jobs.rs
+++ b/src/controller/leadership/recovered_jobs.rs
@@ -1,7 +1,6 @@
 //! End of a recovery: runs the jobs that were read.
 
 use crate::controller::Controller;
-use crate::controller::calls::{ApiCall, PendingCall};
 use crate::controller::jobs::job::JobRecord;
 use crate::controller::jobs::stage_cache::CachedStage;
 use crate::controller::leadership::Leadership;
@@ -44,38 +43,6 @@
 }
 
 impl Controller {
-    /// Recovers a job that the store contains and this process does not run: its acceptance was
-    /// applied after this process had given up waiting for the reply.
-    pub(crate) fn recover_unlisted_job(&mut self, id: &str, shard: usize) {
-        if shard >= self.leadership.shard_count()
-            || !self.serves_shard(shard)
-            || self.jobs.by_id.contains_key(id)
-        {
-            return;
-        }
-        // Reading a malformed job again does not make it readable.
-        if self.jobs.is_unreadable(id) {
-            return;
-        }
-        let being_admitted = |call: &PendingCall| match call {
-            PendingCall::Api(ApiCall::Admit(group)) => {
-                group.submissions.iter().any(|submission| submission.spec.id == id)
-            }
-            _ => false,
-        };
-        if self.context.calls_in_flight().any(being_admitted) {
-            return;
-        }
-        let Some(term) = self.leading_term(shard) else {
-            return;
-        };
-        info!(
-            "job {id} is stored but does not run here: the jobs of shard {shard} are listed again"
-        );
-        let recoveries = &mut self.leadership.recoveries;
-        recoveries.entry(shard).or_insert_with(|| ShardRecovery::new(term)).list_again();
-    }
-
     /// Continues all recoveries.
     pub(crate) fn continue_recoveries(&mut self) {
         // Changes after the read of a record arrive through the watch, which must have started.
@@ -134,6 +101,7 @@
         let Some(recovery) = self.leadership.recoveries.remove(&shard) else {
             return;
         };
+        self.leadership.unlisted_jobs.listing_finished(shard);
         let mut read = recovery.finish();
         for (batch, jobs) in read.batches {
             self.jobs.batches.add(&batch.key, shard, batch.revision, jobs);
--- a/src/controller/leadership/recovery.rs
+++ b/src/controller/leadership/recovery.rs
@@ -152,13 +152,6 @@
         self.term
     }
 
-    /// Lists all jobs again. The list is short, and only jobs that this process does not run are
-    /// recovered.
-    pub(crate) fn list_again(&mut self) {
-        self.after = None;
-        self.listed = false;
-    }
-
     /// Reads all records again, since changes of them may have been missed.
     pub(crate) fn read_records_again(&mut self) {
         self.unread.extend(std::mem::take(&mut self.records).into_keys());
--- a/src/controller/leadership/watch_events.rs
+++ b/src/controller/leadership/watch_events.rs
@@ -98,7 +98,7 @@
         );
         match record.stage {
             StoredStage::Cancelled => self.job_cancelled(id),
-            StoredStage::Accepted => self.recover_unlisted_job(id, record.shard),
+            StoredStage::Accepted => self.observe_accepted_job(id, record.shard),
             StoredStage::Done => {}
         }
     }
@@ -117,10 +117,11 @@
         }
     }
 
-    /// Reads all jobs again after cancellations may have been missed: every conclusion drawn from
-    /// their records may be outdated.
+    /// Reads all jobs again after acceptances and cancellations may have been missed: every
+    /// conclusion drawn from their records may be outdated.
     fn job_changes_missed(&mut self) {
         self.jobs.stage_cache.forget_unfinished();
+        self.leadership.acceptances_missed();
         for recovery in self.leadership.recoveries.values_mut() {
             recovery.read_records_again();
         }
--- a/tests/controller/harness/mod.rs
+++ b/tests/controller/harness/mod.rs
@@ -461,6 +461,18 @@
         }
     }
 
+    /// Ends an outage of the key-value store: every lease has its full time again.
+    pub fn end_outage(&mut self) {
+        self.store.renew_all_leases(self.now);
+    }
+
+    /// Answers the open watches as a store that no longer keeps the changes they wait for.
+    pub fn compact_watched_changes(&mut self) {
+        for watch in std::mem::take(&mut self.watches) {
+            self.schedule_reply(self.now + REPLY_DELAY, watch.id, KvResponse::Compacted);
+        }
+    }
+
     /// Executes and answers the held calls. Returns their number.
     pub fn serve_held_calls(&mut self) -> usize {
         let held = std::mem::take(&mut self.held_calls);
--- a/tests/controller/safety_guards/mod.rs
+++ b/tests/controller/safety_guards/mod.rs
@@ -6,6 +6,7 @@
 mod quota;
 mod starts;
 mod status_queries;
+mod unlisted_jobs;
 
 use crate::harness::Harness;
 use millethold::kv_store::KvRequest;
--- a/tests/controller/status_page.rs
+++ b/tests/controller/status_page.rs
@@ -84,7 +84,7 @@
         (
             &status,
             "counts format image_entries jobs jobs_that_need_others lease_valid machines member \
-             peers rented shards state_limits tasks_waiting",
+             peers rented shards state_limits tasks_waiting unlisted_jobs",
         ),
         (&status["peers"][0], "alive format member state_ok"),
         (&status["state_limits"], "largest_value_kb rps txn_ops value_kb write_rps"),
