Evaluate tasks after a lapse of the lease between two ticks

What callers would see: a job that never ends. Its task stays placed on a machine that was reported as gone while the controller lease was not valid for a moment.

Cause: without a valid lease views are applied, but no conclusion is drawn from them; they are evaluated when the lease is valid again. That was found by comparing one tick with the one before, so a lapse that begins and ends between two ticks was not noticed.

Evidence: tasks_are_evaluated_after_a_lapse_between_two_ticks, a lapse of 10 ms: before, neither of two tasks was started again; now both are. Not seen in service.

Change: the reply that makes the lease valid records whether it was valid before, and the next tick at which it is held evaluates all tasks.

--- a/src/controller/leadership/mod.rs
+++ b/src/controller/leadership/mod.rs
@@ -47,7 +47,8 @@
     watches: Watches,
     /// Time of the last tick at which this process held its controller lease.
     lease_last_held_at: Micros,
-    held_lease_at_last_tick: bool,
+    /// The controller lease has become valid since the last tick at which it was held.
+    lease_regained: bool,
     connectivity: Connectivity,
 }
 
@@ -63,7 +64,7 @@
             unlisted_jobs: UnlistedJobs::default(),
             watches: Watches::default(),
             lease_last_held_at: Micros::ZERO,
-            held_lease_at_last_tick: false,
+            lease_regained: false,
             connectivity: Connectivity::default(),
         }
     }
@@ -85,14 +86,19 @@
     }
 
     /// Records at a tick whether the controller lease is held. Returns true if it is held now and
-    /// was not at the previous tick.
+    /// was not valid at some moment since the last such tick, however short.
     pub(crate) fn check_lease_regained(&mut self, now: Micros) -> bool {
-        let holds_lease = self.holds_lease(now);
-        if holds_lease {
-            self.lease_last_held_at = now;
+        if !self.holds_lease(now) {
+            return false;
         }
-        let held_before = std::mem::replace(&mut self.held_lease_at_last_tick, holds_lease);
-        holds_lease && !held_before
+        self.lease_last_held_at = now;
+        std::mem::take(&mut self.lease_regained)
+    }
+
+    /// Records the reply to a grant or renewal before which the controller lease was valid only if
+    /// `held_before`.
+    pub(crate) fn lease_extended(&mut self, now: Micros, held_before: bool) {
+        self.lease_regained |= !held_before && self.holds_lease(now);
     }
 
     /// Whether this process has a controller lease that the store has not reported as expired, even
--- a/src/controller/leadership/replies.rs
+++ b/src/controller/leadership/replies.rs
@@ -10,14 +10,18 @@
     pub(crate) fn leadership_reply(&mut self, call: LeadershipCall, reply: KvResponse) {
         match call {
             LeadershipCall::GrantLease { sent_at } => {
+                let held_before = self.holds_lease();
                 self.leadership.controller_lease.grant_reply(sent_at, &reply, &self.context);
+                self.leadership.lease_extended(self.context.now, held_before);
             }
             LeadershipCall::RenewLease { sent_at, epoch } => {
+                let held_before = self.holds_lease();
                 let lease = &mut self.leadership.controller_lease;
                 let outcome = lease.renewal_reply(sent_at, epoch, &reply, &self.context);
                 if outcome == RenewalOutcome::Expired {
                     self.controller_lease_expired();
                 }
+                self.leadership.lease_extended(self.context.now, held_before);
             }
             LeadershipCall::ListTerms => self.leadership.terms_reply(&reply, &mut self.context),
             LeadershipCall::ListLeases => {
--- a/tests/controller/harness/mod.rs
+++ b/tests/controller/harness/mod.rs
@@ -315,6 +315,17 @@
         self.workers.push(Worker::new(name, "a", false, false, self.now));
     }
 
+    /// Removes a machine with everything on it, as the cloud does.
+    pub fn lose_machine(&mut self, name: &str) {
+        self.cloud.terminate(self.now, name);
+        self.workers.iter_mut().filter(|w| w.name == name).for_each(|w| w.is_gone = true);
+    }
+
+    /// Whether the controller lease is valid.
+    pub fn holds_lease(&self) -> bool {
+        self.controller.status(self.now)["lease_valid"] == json!(true)
+    }
+
     /// Advances a worker's tasks and sends its heartbeat if it is due.
     fn step_worker(&mut self, worker: usize) {
         let durations =
--- a/tests/controller/safety_guards/leadership.rs
+++ b/tests/controller/safety_guards/leadership.rs
@@ -1,7 +1,7 @@
-//! Releases of a shard lease whose outcome is unknown.
+//! Releases of a shard lease whose outcome is unknown, and lapses of the controller lease.
 
 use super::{shard_status, writes};
-use crate::harness::{Harness, Outcome, settings};
+use crate::harness::{Harness, Outcome, settings, submission};
 use millethold::kv_store::{KvRequest, KvResponse};
 use millethold::peer::Frame;
 use millethold::time::Micros;
@@ -75,3 +75,41 @@
         }
     }
 }
+
+/// Guards against a task that is lost for good. The controller lease lapses and is renewed between
+/// two ticks, and in between a peer reports that the task's machine is gone. The task must be
+/// started elsewhere although no tick has found the lease expired.
+#[test]
+fn tasks_are_evaluated_after_a_lapse_between_two_ticks() {
+    let mut harness = Harness::new(&settings(1, 2, ""), &[]);
+    harness.wait_until_healthy();
+    harness.task_duration_s.insert("j-1".into(), 1_000.0);
+    harness.add_machine();
+    harness.run(Micros::secs(10));
+    assert_eq!(harness.submit(&submission("j-1")).status, 201);
+    harness.run(Micros::secs(3));
+    assert_eq!(harness.started_tasks, ["j-1/0", "j-1/1"]);
+    harness.add_machine();
+    harness.run(Micros::secs(3));
+
+    harness.outcome = Box::new(|call| match call {
+        KvRequest::RenewLease(_) => Outcome::Held,
+        _ => Outcome::Served,
+    });
+    while harness.holds_lease() {
+        harness.run(Micros::millis(10));
+    }
+    let gone = Frame {
+        incarnation: 3,
+        lease_valid: true,
+        is_full_sync: true,
+        terminated: vec!["vm-000000".into()],
+        ..Frame::default()
+    };
+    harness.outcome = Box::new(|_| Outcome::Served);
+    harness.lose_machine("vm-000000");
+    harness.receive_frame(0, gone);
+    assert_eq!(harness.serve_held_calls(), 1, "a renewal is held");
+    harness.run(Micros::secs(5));
+    assert_eq!(harness.started_tasks[2..], ["j-1/0", "j-1/1"], "started on the other machine");
+}
