Forget directly started attempts only with a higher fencing token

A copy of a /do request that a worker had carried out and answered reached it again after its controller had been killed, and ran the task there beside its next attempt on another machine.

Cause: a start that was answered counted as settled.

Evidence: the simulation has such copies now (command_copies).

Change: a response that makes a worker forget an attempt that was sent directly has a higher token than that command. The worker gets both or neither, so at no moment is the attempt gone and its command still good. It is put off while a direct command is in flight, which the worker would refuse. The same holds for starts without an answer, which were kept before.

--- a/src/controller/decision_log.rs
+++ b/src/controller/decision_log.rs
@@ -33,6 +33,10 @@
     /// Tasks on these workers at the time of the raise: ending the workers' incarnations instead
     /// would have lost them.
     pub(crate) tasks_beside_raises: u64,
+    /// Raises of a worker's fencing token, so that copies of direct commands do not run an attempt
+    /// again that the worker forgets.
+    #[serde(rename = "tokens_raised_to_forget")]
+    pub(crate) fencing_tokens_raised_to_forget: u64,
     /// Requests to the cloud to scale out.
     #[serde(rename = "rent_requests")]
     pub(crate) scale_out_requests: u64,
@@ -177,6 +181,18 @@
     );
 }
 
+/// Logs that a worker is sent a higher fencing token from now on, so that a copy of an earlier
+/// direct command does not run an ended attempt again once the worker has forgotten it.
+pub(crate) fn raise_fencing_token_to_forget(evidence: CommandEvidence<'_>, attempt: &AttemptId) {
+    log::debug!(
+        target: TARGET,
+        job = attempt.job.as_str(), task = attempt.index, attempt = attempt.attempt,
+        machine = evidence.machine, incarnation = evidence.incarnation.0,
+        shard = evidence.shard, term = evidence.term, fencing_token = evidence.fencing_token.0;
+        "raise_fencing_token_to_forget"
+    );
+}
+
 /// Logs that a decision would have broken a rule of this program. `authority` is everything that
 /// the decision was based on.
 pub(crate) fn violation(
--- a/src/controller/leadership/handover.rs
+++ b/src/controller/leadership/handover.rs
@@ -30,6 +30,18 @@
         }
     }
 
+    /// Begins the handover of a led shard, after which this process or another leads it under a new
+    /// term.
+    pub(crate) fn begin_handover(&mut self, shard: usize) {
+        if let Some(leadership) = &mut self.shards[shard].leadership
+            && leadership.recovered
+            && !leadership.handing_over
+        {
+            info!("shard {shard}: handed over, since a new term is due");
+            leadership.handing_over = true;
+        }
+    }
+
     /// Begins the handover of all led shards.
     pub(crate) fn begin_handover_of_all(&mut self) {
         for leadership in self.shards.iter_mut().filter_map(|shard| shard.leadership.as_mut()) {
--- a/src/controller/machines/commands.rs
+++ b/src/controller/machines/commands.rs
@@ -92,6 +92,39 @@
         managed.raise_fencing_token();
     }
 
+    /// Raises a worker's fencing token if it has an ended attempt to forget that a copy of a direct
+    /// command might run again: the token reaches the worker with the command to forget. While a
+    /// direct command is in flight, which the worker would refuse with its old token, the attempt
+    /// is kept.
+    pub(crate) fn raise_token_to_forget(&mut self, machine: &str) {
+        let (Some(authority), Some(managed)) =
+            (self.command_authority(machine), self.machines.managed.get_mut(machine))
+        else {
+            return;
+        };
+        if managed.direct_in_flight
+            || managed.ended_startable_again(authority.fencing_token).next().is_none()
+        {
+            return;
+        }
+        let inputs = ReconcileInputs {
+            desired: &self.machines.desired,
+            shards: self.leadership.shards(),
+            stages: &self.jobs.stage_cache,
+            machine_types: &self.autoscaler.machine_types,
+        };
+        let reconciler = Reconciler::collect(inputs, machine, managed, authority);
+        let Some(attempt) = reconciler.forgettable_with_higher_token(managed) else {
+            return;
+        };
+        self.counts.decisions.fencing_tokens_raised_to_forget += 1;
+        decision_log::raise_fencing_token_to_forget(authority.evidence(machine), &attempt);
+        managed.raise_fencing_token();
+        if managed.needs_new_term() {
+            self.leadership.begin_handover(authority.shard);
+        }
+    }
+
     /// Records a violation if a start of a job that is done or cancelled may still arrive at a
     /// machine whose heartbeat is about to be answered: the response would renew the worker's
     /// lease.
--- a/src/controller/machines/machine/mod.rs
+++ b/src/controller/machines/machine/mod.rs
@@ -101,6 +101,12 @@
         fencing_token::raised_fencing_token(term, self.fencing_token_raises)
     }
 
+    /// Whether so many fencing tokens of the term are used that the next term is due. Some are
+    /// left to revoke starts until then.
+    pub fn needs_new_term(&self) -> bool {
+        self.fencing_token_raises >= fencing_token::RAISES_PER_TERM
+    }
+
     /// Raises the fencing token of all further commands to this machine.
     pub fn raise_fencing_token(&mut self) {
         self.fencing_token_raises += 1;
@@ -130,6 +136,19 @@
             .map(|(attempt, _)| attempt)
     }
 
+    /// Reported attempts that have ended and that a direct command might run again if a worker
+    /// forgot them that has received only `fencing_token`.
+    pub(crate) fn ended_startable_again(
+        &self,
+        fencing_token: FencingToken,
+    ) -> impl Iterator<Item = &AttemptId> {
+        self.tasks
+            .iter()
+            .filter(|(_, observed)| observed.is_terminal())
+            .map(|(attempt, _)| attempt)
+            .filter(move |attempt| self.starts.may_start_if_forgotten(attempt, fencing_token))
+    }
+
     /// Whether tasks of a job are reported, are being started, or wait. `first` is the lowest
     /// possible attempt of the job; see [`AttemptId::lowest_of`].
     pub(crate) fn has_tasks_of(&self, first: &AttemptId) -> bool {
--- a/src/controller/machines/machine/starts.rs
+++ b/src/controller/machines/machine/starts.rs
@@ -16,7 +16,8 @@
     /// Whether the outcome of a direct command with the start will never be known. The worker
     /// may execute it as long as fencing token and incarnation match.
     pub may_arrive_late: bool,
-    /// Fencing token of the last direct command with the start.
+    /// Fencing token of the last direct command with the start that may have been sent; 0 if there
+    /// was none.
     pub fencing_token: FencingToken,
 }
 
@@ -26,6 +27,12 @@
         self.in_response || self.may_still_arrive_directly()
     }
 
+    /// Whether a direct command with the start was sent, whatever its outcome. A copy of it may
+    /// arrive at any later time.
+    pub fn was_sent_directly(self) -> bool {
+        self.fencing_token > FencingToken::default()
+    }
+
     /// Whether a direct command with the start may still arrive.
     pub fn may_still_arrive_directly(self) -> bool {
         self.direct_commands > 0 || self.may_arrive_late
@@ -60,9 +67,9 @@
 pub struct Starts {
     /// Starts whose capacity is reserved and whose tasks no heartbeat lists yet.
     pub in_flight: BTreeMap<AttemptId, StartInFlight>,
-    /// Reported attempts that a direct command of unknown outcome may still start, with the
-    /// command's fencing token. If the worker forgot such an attempt, the command would run it
-    /// again.
+    /// Reported attempts that were sent by direct command, with the command's fencing token. If
+    /// the worker forgot such an attempt, a copy of the command, or the command itself if its
+    /// outcome is unknown, would run it again.
     pub may_start_again: BTreeMap<AttemptId, FencingToken>,
     /// Attempts for which there was no capacity. Their starts are never sent.
     pub(crate) refused: BTreeSet<AttemptId>,
@@ -85,7 +92,7 @@
     pub(super) fn record_reported(&mut self, attempt: &AttemptId) -> bool {
         let start = self.in_flight.remove(attempt);
         if let Some(start) = start
-            && start.may_still_arrive_directly()
+            && start.was_sent_directly()
         {
             self.may_start_again.insert(attempt.clone(), start.fencing_token);
         }
@@ -129,12 +136,21 @@
             if let Some(start) = self.in_flight.get_mut(attempt) {
                 start.direct_commands = start.direct_commands.saturating_sub(1);
                 start.may_arrive_late |= unknown && start.fencing_token >= highest_fencing_token;
-            } else if !unknown {
+                if outcome == CommandOutcome::NotExecuted && !start.may_still_arrive_directly() {
+                    start.fencing_token = FencingToken::default();
+                }
+            } else if outcome == CommandOutcome::NotExecuted {
                 self.may_start_again.remove(attempt);
             }
         }
     }
 
+    /// Whether a direct command may start a reported attempt again once a worker has forgotten it
+    /// that has received only `fencing_token`.
+    pub fn may_start_if_forgotten(&self, attempt: &AttemptId, fencing_token: FencingToken) -> bool {
+        self.may_start_again.get(attempt).is_some_and(|of_command| *of_command >= fencing_token)
+    }
+
     /// Finds a start that must be revoked now: it may still arrive by a direct command that
     /// `fencing_token`, the current one, does not outrank, and `reason` returns why it must not
     /// be executed.
--- a/src/controller/machines/reconciler.rs
+++ b/src/controller/machines/reconciler.rs
@@ -196,12 +196,7 @@
         let mut commands = Vec::new();
         for (attempt, observed) in &managed.tasks {
             if observed.is_terminal() {
-                // If the worker forgot the attempt, a start that may still arrive would run it
-                // again.
-                let forget = in_response
-                    && self.undesired.contains(attempt)
-                    && !managed.starts.may_start_again.contains_key(attempt);
-                if forget {
+                if in_response && self.may_forget(managed, attempt) {
                     decision_log::forget(self.authority.evidence(self.machine), attempt);
                     commands.push(Command::Forget {
                         task: attempt.task_name(),
@@ -226,6 +221,27 @@
         commands
     }
 
+    /// Whether the worker may forget an ended attempt: no shard desires it, and a direct command
+    /// that arrives later cannot run it again. The worker receives the fencing token of the
+    /// response together with the command to forget.
+    fn may_forget(&self, managed: &ManagedMachine, attempt: &AttemptId) -> bool {
+        let fencing_token = self.authority.fencing_token;
+        self.undesired.contains(attempt)
+            && !managed.starts.may_start_if_forgotten(attempt, fencing_token)
+    }
+
+    /// An ended attempt that no shard desires and that the worker may forget only with a higher
+    /// fencing token; `None` if there is none.
+    pub(crate) fn forgettable_with_higher_token(
+        &self,
+        managed: &ManagedMachine,
+    ) -> Option<AttemptId> {
+        managed
+            .ended_startable_again(self.authority.fencing_token)
+            .find(|attempt| self.undesired.contains(*attempt))
+            .cloned()
+    }
+
     /// How and why an attempt on the machine is to be stopped; `None` if it is not.
     fn stop_decision(
         &self,
--- a/tests/cluster/simulation/controllers.rs
+++ b/tests/cluster/simulation/controllers.rs
@@ -175,6 +175,11 @@
             self.schedule(at, SimEvent::Direct { controller, incarnation: 0, id, worker, body });
             self.schedule(self.now + DIRECT_TIMEOUT, no_answer);
         } else {
+            if self.chance(self.faults.command_copies) {
+                let late = Micros::millis(self.rng.random_range(500..40_000));
+                let copy = SimEvent::CommandCopy { worker, body: body.clone() };
+                self.schedule(at + late, copy);
+            }
             self.schedule(at, SimEvent::Direct { controller, incarnation, id, worker, body });
         }
     }
--- a/tests/cluster/simulation/event.rs
+++ b/tests/cluster/simulation/event.rs
@@ -58,6 +58,8 @@
     Direct { controller: usize, incarnation: u64, id: CallId, worker: usize, body: Vec<u8> },
     /// Held direct commands reach a worker after their sender has stopped waiting.
     HeldCommands { worker: usize, body: Vec<u8>, sent: Micros },
+    /// A copy of direct commands that were answered reaches their worker again.
+    CommandCopy { worker: usize, body: Vec<u8> },
     /// A frame reaches a peer.
     Peer { from: usize, link: u64, to: usize, frame: Box<Frame> },
     /// A connection to a peer opens.
--- a/tests/cluster/simulation/faults.rs
+++ b/tests/cluster/simulation/faults.rs
@@ -45,6 +45,9 @@
     pub late_applied: f64,
     /// Probability that a direct command is delayed by up to 20 s and its answer lost.
     pub command_delays: f64,
+    /// Probability that a copy of a direct command that was answered arrives again, 0.5 to 40 s
+    /// later.
+    pub command_copies: f64,
     /// Direct commands that are held for long, while heartbeats of the same machine and incarnation
     /// are answered.
     pub held_commands: Option<HeldCommands>,
--- a/tests/cluster/simulation/machines.rs
+++ b/tests/cluster/simulation/machines.rs
@@ -80,6 +80,16 @@
         self.check_executed_commands(worker, started);
     }
 
+    /// Executes a copy of direct commands that were answered, whose answer nobody waits for.
+    pub(super) fn command_copy_arrives(&mut self, worker: usize, body: &[u8]) {
+        if self.workers[worker].is_gone {
+            return;
+        }
+        self.command_copies += 1;
+        let (_, started, _) = self.workers[worker].handle_direct_commands(self.now, worker, body);
+        self.check_executed_commands(worker, started);
+    }
+
     /// Advances the tasks of a worker, and sends a heartbeat if one is due.
     pub(super) fn worker_step(&mut self, worker: usize) {
         if self.workers[worker].is_gone {
--- a/tests/cluster/simulation/world.rs
+++ b/tests/cluster/simulation/world.rs
@@ -95,6 +95,8 @@
     pub task_entries_sent: u64,
     /// Direct commands that reached their worker more than `CANCEL_S` after they were sent.
     pub long_held_commands: u64,
+    /// Copies of answered direct commands that reached their worker.
+    pub command_copies: u64,
     /// Transactions that were refused as larger than the lowered limits.
     pub refused_large_txns: u64,
 }
@@ -158,6 +160,7 @@
             machine_entries_sent: 0,
             task_entries_sent: 0,
             long_held_commands: 0,
+            command_copies: 0,
             refused_large_txns: 0,
             faults,
             rng: StdRng::seed_from_u64(rng.random()),
@@ -315,6 +318,7 @@
             SimEvent::Direct { controller, incarnation, id, worker, body } => {
                 self.direct_commands_arrive(controller, incarnation, id, worker, &body)
             }
+            SimEvent::CommandCopy { worker, body } => self.command_copy_arrives(worker, &body),
             SimEvent::HeldCommands { worker, body, sent } => {
                 self.held_commands_arrive(worker, &body, sent)
             }
--- a/tests/components/machines.rs
+++ b/tests/components/machines.rs
@@ -1,7 +1,7 @@
 //! Tests of what the leader of a machine's shard concludes from heartbeats, and of start permits.
 
 use millethold::controller::jobs::job::StoredStage;
-use millethold::controller::leadership::fencing_token::{TERM_STRIDE, next_term};
+use millethold::controller::leadership::fencing_token::{RAISES_PER_TERM, TERM_STRIDE, next_term};
 use millethold::controller::machines::attempt::AttemptId;
 use millethold::controller::machines::machine::ManagedMachine;
 use millethold::controller::machines::machine::heartbeat::HeartbeatSource;
@@ -89,7 +89,8 @@
     let ended = [(2, TaskState::Exited, Some(EndCause::Done))];
     machine.apply_heartbeat(now, &heartbeat(1, 6, 4, &ended), 4, Request);
     assert!(machine.starts.may_start_again.contains_key(&attempt_id(2)));
-    // A direct command that was executed cannot arrive again.
+    // Nor must it while a copy of a direct command that was executed would start it again, which
+    // is no longer so once the worker has a higher fencing token.
     machine.starts.in_flight.insert(
         attempt_id(3),
         StartInFlight {
@@ -101,7 +102,27 @@
     let running = [(3, TaskState::Running, None)];
     machine.apply_heartbeat(now, &heartbeat(1, 7, 4, &running), 4, Request);
     machine.record_direct_outcome(&[attempt_id(3)], CommandOutcome::Executed);
-    assert!(!machine.starts.may_start_again.contains_key(&attempt_id(3)));
+    assert!(machine.starts.may_start_if_forgotten(&attempt_id(3), FencingToken(4)));
+    assert!(!machine.starts.may_start_if_forgotten(&attempt_id(3), FencingToken(5)));
+    // A start that was only in a heartbeat response, or in a direct command that was not sent,
+    // cannot arrive again.
+    machine
+        .starts
+        .in_flight
+        .insert(attempt_id(4), StartInFlight { in_response: true, ..StartInFlight::default() });
+    let not_sent = StartInFlight {
+        direct_commands: 1,
+        fencing_token: FencingToken(4),
+        ..StartInFlight::default()
+    };
+    machine.starts.in_flight.insert(attempt_id(5), not_sent);
+    machine.record_direct_outcome(&[attempt_id(5)], CommandOutcome::NotExecuted);
+    let both = [(4, TaskState::Running, None), (5, TaskState::Running, None)];
+    machine.apply_heartbeat(now, &heartbeat(1, 8, 4, &both), 4, Request);
+    for number in [4, 5] {
+        let attempt = attempt_id(number);
+        assert!(!machine.starts.may_start_if_forgotten(&attempt, FencingToken(4)), "{attempt:?}");
+    }
 
     // A new incarnation ends all attempts of the earlier one, whose late heartbeats are dropped.
     machine.apply_heartbeat(now, &heartbeat(2, 1, 4, &[]), 4, Request);
@@ -372,7 +393,14 @@
     machine.raise_fencing_token();
     machine.apply_heartbeat(now, &heartbeat(1, 5, raised.0 + 1, &ended), term, Request);
     assert!(!machine.starts.may_start_again.contains_key(&attempt_id(3)));
-    // The tokens of a term are limited, and none belongs to another term.
+    // The tokens of a term are limited, and none belongs to another term. A new term is due while
+    // there are some left.
+    assert!(!machine.needs_new_term());
+    for _ in 0..RAISES_PER_TERM {
+        machine.raise_fencing_token();
+    }
+    assert!(machine.needs_new_term());
+    assert!(machine.fencing_token(term).is_some_and(|token| token.0 < next_term(term)));
     for _ in 0..TERM_STRIDE {
         machine.raise_fencing_token();
     }
--- a/tests/controller/harness/mod.rs
+++ b/tests/controller/harness/mod.rs
@@ -120,6 +120,8 @@
     /// Number of direct commands that workers have refused.
     pub refused_commands: usize,
     held_commands: Vec<(usize, Vec<u8>)>,
+    /// Direct commands with starts that workers have executed and answered.
+    executed_starts: Vec<(usize, Vec<u8>)>,
     workers: Vec<Worker>,
     heartbeats: BTreeMap<u64, (usize, Micros, u64)>,
     next_worker_step: Micros,
@@ -226,6 +228,7 @@
             hold_starts: false,
             refused_commands: 0,
             held_commands: Vec::new(),
+            executed_starts: Vec::new(),
             workers: Vec::new(),
             heartbeats: BTreeMap::new(),
             next_worker_step: now,
@@ -405,10 +408,14 @@
                 let reply = match self.workers.get_mut(worker).filter(|w| !w.is_gone) {
                     None => DirectReply::NotSent,
                     Some(w) => {
+                        let request = body;
                         let (status, started, body) =
-                            w.handle_direct_commands(self.now, worker, &body);
+                            w.handle_direct_commands(self.now, worker, &request);
                         self.started_tasks.extend(started);
                         self.refused_commands += usize::from(status != 200);
+                        if has_start && status == 200 {
+                            self.executed_starts.push((worker, request));
+                        }
                         DirectReply::Answered { status, body }
                     }
                 };
@@ -515,6 +522,19 @@
         statuses
     }
 
+    /// Delivers copies of all direct commands with starts that workers have executed. Returns the
+    /// status of each response; the controller does not receive the responses.
+    pub fn repeat_direct_starts(&mut self) -> Vec<u16> {
+        let mut statuses = Vec::new();
+        for (worker, body) in self.executed_starts.clone() {
+            let (status, started, _) =
+                self.workers[worker].handle_direct_commands(self.now, worker, &body);
+            self.started_tasks.extend(started);
+            statuses.push(status);
+        }
+        statuses
+    }
+
     /// Writes a key as another controller, or one that no longer exists, would.
     pub fn put(&mut self, key: &str, value: Value) {
         let write = Write::Put { key: key.into(), value, lease: None };
--- a/tests/controller/safety_guards/starts.rs
+++ b/tests/controller/safety_guards/starts.rs
@@ -1,4 +1,4 @@
-//! Direct starts that arrive late.
+//! Direct starts that arrive late, or again.
 
 use crate::harness::{Harness, submission};
 use millethold::time::Micros;
@@ -8,11 +8,13 @@
 /// token, so that it refuses the start and still executes later commands.
 #[test]
 fn late_start_of_a_cancelled_job() {
-    // Whether the job is cancelled, whether the late start is refused.
+    // Whether the job is cancelled, whether the late start is refused. The tasks of the other job
+    // still run when it arrives.
     for (cancelled, refused) in [(true, true), (false, false)] {
         let mut harness = Harness::ready("", &[]);
         harness.add_machine();
         harness.run(Micros::secs(5));
+        harness.task_duration_s.insert("j-1".into(), 60.0);
         harness.hold_starts = true;
         assert_eq!(harness.submit(&submission("j-1")).status, 201);
         if cancelled {
@@ -38,3 +40,28 @@
         assert_eq!(harness.refused_commands, 0, "cancelled: {cancelled}");
     }
 }
+
+/// Guards against an attempt that runs again after its end. A copy of the direct command that
+/// started it arrives once the worker has forgotten it; the worker must refuse the copy, and
+/// execute later commands. As long as the attempt is listed, a copy has no effect.
+#[test]
+fn copies_of_an_executed_start() {
+    let mut harness = Harness::ready("", &[]);
+    harness.add_machine();
+    harness.run(Micros::secs(5));
+    harness.task_duration_s.insert("j-1".into(), 10.0);
+    assert_eq!(harness.submit(&submission("j-1")).status, 201);
+    harness.run(Micros::secs(5));
+    assert_eq!(harness.started_tasks, ["j-1/0", "j-1/1"]);
+    assert_eq!(harness.repeat_direct_starts(), [200], "the tasks run");
+    harness.run(Micros::secs(20));
+    assert_eq!(harness.poll("j-1").status_and_stage(), (200, "done"));
+    assert_eq!(harness.repeat_direct_starts(), [409], "the tasks are forgotten");
+    assert_eq!(harness.started_tasks, ["j-1/0", "j-1/1"], "started again");
+
+    assert_eq!(harness.submit(&submission("j-2")).status, 201);
+    harness.run(Micros::secs(20));
+    assert_eq!(harness.started_tasks[2..], ["j-2/0", "j-2/1"]);
+    assert_eq!(harness.poll("j-2").status_and_stage(), (200, "done"));
+    assert_eq!(harness.refused_commands, 0, "a command of the controller is refused");
+}
