Apply replies of the cloud that arrive while the lease is not valid

Cause: a reply of the cloud was dropped unless the shard was led with a valid lease at that moment, so its request stayed in flight for as long as the leadership lasts, which goes on after an outage.

Change: a reply ends its request if the shard is led under the term of the request, as the replies of the key-value store do; new requests still need a valid lease.

--- a/src/controller/autoscaler/replies.rs
+++ b/src/controller/autoscaler/replies.rs
@@ -58,7 +58,9 @@
 impl Controller {
     /// Handles a reply of the cloud.
     pub(crate) fn cloud_reply(&mut self, call: AutoscalerCall, reply: CloudReply) {
-        let leads_under = |term: u64| self.leading_term(AUTOSCALER_SHARD) == Some(term);
+        // A reply ends its request whether or not the controller lease is valid at the moment: if
+        // the leadership goes on afterwards, nothing else ends it.
+        let leads_under = |term: u64| self.leadership.leads_under(AUTOSCALER_SHARD, term);
         match (call, reply) {
             (AutoscalerCall::ListMachineTypes, CloudReply::MachineTypes(types)) => {
                 self.apply_machine_types(types);
--- a/tests/controller/harness/mod.rs
+++ b/tests/controller/harness/mod.rs
@@ -108,6 +108,11 @@
     pub calls: Vec<KvRequest>,
     /// All frames sent so far, each with the number of the peer.
     pub sent_frames: Vec<(usize, Frame)>,
+    /// Whether the cloud's replies are held until [`Harness::deliver_cloud_replies`].
+    pub hold_cloud_replies: bool,
+    held_cloud_replies: Vec<(CallId, CloudReply)>,
+    /// All calls to the cloud so far.
+    pub cloud_calls: Vec<CloudCall>,
     /// Whether workers start on the machines that the controller rents.
     pub boot_rented_machines: bool,
     /// Seconds that the tasks of a job run, by job id; one second for jobs without an entry.
@@ -222,6 +227,9 @@
             watches_hang: false,
             calls: Vec::new(),
             sent_frames: Vec::new(),
+            hold_cloud_replies: false,
+            held_cloud_replies: Vec::new(),
+            cloud_calls: Vec::new(),
             boot_rented_machines: false,
             task_duration_s: BTreeMap::new(),
             started_tasks: Vec::new(),
@@ -392,6 +400,10 @@
                     let returned = |w: &&mut Worker| names.contains(&w.name);
                     self.workers.iter_mut().filter(returned).for_each(|w| w.is_gone = true);
                 }
+                self.cloud_calls.push(call);
+                if self.hold_cloud_replies {
+                    return self.held_cloud_replies.push((id, reply));
+                }
                 self.pending_events
                     .push((reply_at, Event::Reply { id, reply: Reply::Cloud(reply) }));
             }
@@ -535,6 +547,16 @@
         statuses
     }
 
+    /// Delivers the held replies of the cloud. Returns their number.
+    pub fn deliver_cloud_replies(&mut self) -> usize {
+        let held = std::mem::take(&mut self.held_cloud_replies);
+        let count = held.len();
+        for (id, reply) in held {
+            self.handle_event(Event::Reply { id, reply: Reply::Cloud(reply) });
+        }
+        count
+    }
+
     /// Writes a key as another controller, or one that no longer exists, would.
     pub fn put(&mut self, key: &str, value: Value) {
         let write = Write::Put { key: key.into(), value, lease: None };
--- a/tests/controller/safety_guards/mod.rs
+++ b/tests/controller/safety_guards/mod.rs
@@ -2,6 +2,7 @@
 //! itself, and fails if its guard is removed from the source.
 
 mod admission;
+mod autoscaler;
 mod leadership;
 mod quota;
 mod starts;
