Keep ended attempts rather than raise tokens beside an earlier version

Change: while a live peer sends a lower format, up to 24 ended attempts of a machine stay listed, for which no token has to rise: a copy of their start finds them there. Beyond that the token rises, since ran_twice goes first.

Result: tokens_are_not_raised_to_forget_beside_an_earlier_version: beside format 0 no raise and the copy without effect (200), beside this format one raise and the copy refused (409). Not played with processes of the earlier version.

--- a/src/controller/machines/commands.rs
+++ b/src/controller/machines/commands.rs
@@ -5,8 +5,13 @@
 use crate::controller::decision_log::{self, DecisionCounts};
 use crate::controller::machines::reconciler::{ReconcileInputs, Reconciler};
 use crate::controller::machines::start_permit::{CommandAuthority, CommandRoute, CommandViolation};
+use crate::peer::FORMAT_WITH_RAISED_TOKENS;
 use crate::wire::Command;
 
+/// Maximum number of ended attempts on a machine that are kept, to spare its fencing token, while a
+/// live peer runs an earlier version.
+const MAX_KEPT_DURING_UPGRADE: usize = 24;
+
 impl Controller {
     /// Authority of this process to command a machine now; `None` if it does not lead the
     /// machine's shard, does not manage the machine, or has no fencing token left for it in
@@ -95,16 +100,19 @@
     /// Raises a worker's fencing token if it has an ended attempt to forget that a copy of a direct
     /// command might run again: the token reaches the worker with the command to forget. While a
     /// direct command is in flight, which the worker would refuse with its old token, the attempt
-    /// is kept.
+    /// is kept; so are a few attempts while a peer of an earlier version could not command the
+    /// worker with a raised token.
     pub(crate) fn raise_token_to_forget(&mut self, machine: &str) {
         let (Some(authority), Some(managed)) =
             (self.command_authority(machine), self.machines.managed.get_mut(machine))
         else {
             return;
         };
-        if managed.direct_in_flight
-            || managed.ended_startable_again(authority.fencing_token).next().is_none()
-        {
+        let kept = managed.ended_startable_again(authority.fencing_token).count();
+        let has_earlier_version =
+            self.peers.any_live_with_format_below(FORMAT_WITH_RAISED_TOKENS, self.context.now);
+        let max_kept = if has_earlier_version { MAX_KEPT_DURING_UPGRADE } else { 0 };
+        if managed.direct_in_flight || kept <= max_kept {
             return;
         }
         let inputs = ReconcileInputs {
--- a/src/controller/peers/mod.rs
+++ b/src/controller/peers/mod.rs
@@ -84,6 +84,11 @@
         live_peer.and_then(|peer| peer.healthy_since).is_some_and(|since| now.since(since) > delay)
     }
 
+    /// Whether a live peer runs a version with a lower format.
+    pub(crate) fn any_live_with_format_below(&self, format: u32, now: Micros) -> bool {
+        self.live(now).any(|peer| peer.format < format)
+    }
+
     /// Pending tasks of live peers.
     pub(crate) fn live_demand(&self, now: Micros) -> impl Iterator<Item = &Demand> {
         self.live(now).flat_map(|peer| &peer.demand)
--- a/tests/controller/safety_guards/starts.rs
+++ b/tests/controller/safety_guards/starts.rs
@@ -1,6 +1,7 @@
 //! Direct starts that arrive late, or again.
 
-use crate::harness::{Harness, submission};
+use crate::harness::{Harness, settings, submission};
+use millethold::peer::{FORMAT, Frame};
 use millethold::time::Micros;
 
 /// Guards against the start of a cancelled job's task. A direct start arrives only after its
@@ -65,3 +66,29 @@
     assert_eq!(harness.poll("j-2").status_and_stage(), (200, "done"));
     assert_eq!(harness.refused_commands, 0, "a command of the controller is refused");
 }
+
+/// Guards against machines that a peer of an earlier version could not command if it acquired their
+/// shard: its terms are not above raised fencing tokens. While such a peer is alive, ended attempts
+/// are kept, and no token is raised for them.
+#[test]
+fn tokens_are_not_raised_to_forget_beside_an_earlier_version() {
+    for (format, refused) in [(0, false), (FORMAT, true)] {
+        let mut harness = Harness::new(&settings(1, 2, ""), &[]);
+        harness.wait_until_healthy();
+        harness.add_machine();
+        harness.run(Micros::secs(5));
+        assert_eq!(harness.submit(&submission("j-1")).status, 201);
+        for _ in 0..40 {
+            let alive = Frame { incarnation: 3, is_full_sync: true, format, ..Frame::default() };
+            harness.receive_frame(0, alive);
+            harness.run(Micros::millis(500));
+        }
+        assert_eq!(harness.poll("j-1").status_and_stage(), (200, "done"), "format {format}");
+        let status = harness.controller.status(harness.now);
+        let raised = status["counts"]["decisions"]["tokens_raised_to_forget"].as_u64();
+        assert_eq!(raised, Some(u64::from(refused)), "format {format}");
+        let expected = if refused { 409 } else { 200 };
+        assert_eq!(harness.repeat_direct_starts(), [expected], "format {format}");
+        assert_eq!(harness.started_tasks, ["j-1/0", "j-1/1"], "format {format}: started again");
+    }
+}
