Build the inputs of reconciliation in one place

Need: commands.rs built them three times, the third since the raise of a token to forget. Change: one function. No change of behaviour. Tests of a controller and the components passed.

--- a/src/controller/machines/commands.rs
+++ b/src/controller/machines/commands.rs
@@ -2,7 +2,11 @@
 //! reconciliation, and the revocation of starts that are still in flight.
 
 use crate::controller::Controller;
+use crate::controller::autoscaler::Autoscaler;
 use crate::controller::decision_log::{self, DecisionCounts};
+use crate::controller::jobs::Jobs;
+use crate::controller::leadership::Leadership;
+use crate::controller::machines::desired_state::received::DesiredState;
 use crate::controller::machines::reconciler::{ReconcileInputs, Reconciler};
 use crate::controller::machines::start_permit::{CommandAuthority, CommandRoute, CommandViolation};
 use crate::peer::FORMAT_WITH_RAISED_TOKENS;
@@ -40,12 +44,12 @@
         let Some(managed) = self.machines.managed.get_mut(machine) else {
             return Vec::new();
         };
-        let inputs = ReconcileInputs {
-            desired: &self.machines.desired,
-            shards: self.leadership.shards(),
-            stages: &self.jobs.stage_cache,
-            machine_types: &self.autoscaler.machine_types,
-        };
+        let inputs = reconcile_inputs(
+            &self.machines.desired,
+            &self.leadership,
+            &self.jobs,
+            &self.autoscaler,
+        );
         let reconciler = Reconciler::collect(inputs, machine, managed, authority);
         let unknown_jobs = reconciler.unknown_jobs(managed);
         let outcome = reconciler.reconcile(managed, route);
@@ -72,12 +76,12 @@
         if !managed.starts.has_pending_direct() {
             return;
         }
-        let inputs = ReconcileInputs {
-            desired: &self.machines.desired,
-            shards: self.leadership.shards(),
-            stages: &self.jobs.stage_cache,
-            machine_types: &self.autoscaler.machine_types,
-        };
+        let inputs = reconcile_inputs(
+            &self.machines.desired,
+            &self.leadership,
+            &self.jobs,
+            &self.autoscaler,
+        );
         let reconciler = Reconciler::collect(inputs, machine, managed, authority);
         let reason = |attempt: &_| reconciler.revocation_reason(attempt);
         let Some(revocation) = managed.starts.find_revocation(authority.fencing_token, reason)
@@ -115,12 +119,12 @@
         if managed.direct_in_flight || kept <= max_kept {
             return;
         }
-        let inputs = ReconcileInputs {
-            desired: &self.machines.desired,
-            shards: self.leadership.shards(),
-            stages: &self.jobs.stage_cache,
-            machine_types: &self.autoscaler.machine_types,
-        };
+        let inputs = reconcile_inputs(
+            &self.machines.desired,
+            &self.leadership,
+            &self.jobs,
+            &self.autoscaler,
+        );
         let reconciler = Reconciler::collect(inputs, machine, managed, authority);
         let Some(attempt) = reconciler.forgettable_with_higher_token(managed) else {
             return;
@@ -149,6 +153,22 @@
     }
 }
 
+/// Inputs of reconciliation from the components that own them. It takes no machines besides their
+/// desired state, so that the caller can change the machine that is reconciled.
+fn reconcile_inputs<'a>(
+    desired: &'a [DesiredState],
+    leadership: &'a Leadership,
+    jobs: &'a Jobs,
+    autoscaler: &'a Autoscaler,
+) -> ReconcileInputs<'a> {
+    ReconcileInputs {
+        desired,
+        shards: leadership.shards(),
+        stages: &jobs.stage_cache,
+        machine_types: &autoscaler.machine_types,
+    }
+}
+
 fn count_commands(counts: &mut DecisionCounts, commands: &[Command], route: CommandRoute) {
     for command in commands {
         match (command, route) {
