Raise a worker's fencing token in one place, for both reasons

Need, from the read-through of the change: a revocation and the raise to forget stood side by side, each with its own authority and reconciler on the path of every heartbeat, and could both raise in one response. A revocation used up tokens of the term without asking for a new one.

Change: raise_fencing_token_if_due does both with one reconciler and at most one raise; either asks for a new term when it is due. Names and comments in plainer words.

--- a/src/controller/autoscaler/replies.rs
+++ b/src/controller/autoscaler/replies.rs
@@ -58,8 +58,8 @@
 impl Controller {
     /// Handles a reply of the cloud.
     pub(crate) fn cloud_reply(&mut self, call: AutoscalerCall, reply: CloudReply) {
-        // A reply ends its request whether or not the controller lease is valid at the moment: if
-        // the leadership goes on afterwards, nothing else ends it.
+        // A reply ends its request whether or not the controller lease is valid at the moment. If
+        // the lease becomes valid again under the same term, nothing else would end the request.
         let leads_under = |term: u64| self.leadership.leads_under(AUTOSCALER_SHARD, term);
         match (call, reply) {
             (AutoscalerCall::ListMachineTypes, CloudReply::MachineTypes(types)) => {
--- a/src/controller/leadership/fencing_token.rs
+++ b/src/controller/leadership/fencing_token.rs
@@ -12,8 +12,8 @@
 /// Offset above the term at which raised tokens begin. The numbers below it are left to earlier
 /// versions, whose next terms must not equal a token that was raised before.
 pub const FIRST_RAISED_OFFSET: u64 = TERM_STRIDE / 2;
-/// Number of raises of a worker's token after which its shard is to be led under a new term. The
-/// remaining tokens of the term last until then.
+/// Number of raises of a worker's fencing token after which its shard is handed over, and led under
+/// a new term. The remaining fencing tokens of the term last until then.
 pub const RAISES_PER_TERM: u64 = (TERM_STRIDE - FIRST_RAISED_OFFSET) / 2;
 
 impl FencingToken {
--- a/src/controller/leadership/unlisted_jobs.rs
+++ b/src/controller/leadership/unlisted_jobs.rs
@@ -3,8 +3,8 @@
 //!
 //! Such a job is observed once, when its record arrives. It often cannot be recovered at that
 //! moment: the controller lease is not valid after an outage, the shard is being recovered, or the
-//! admission is still in flight. So it is kept here, and every tick compares what is kept with the
-//! jobs that run, until the job runs, has ended or this process no longer leads the shard.
+//! admission is still in flight. This module keeps such jobs. Every tick compares them with the jobs
+//! that run, until the job runs, has ended or this process no longer leads the shard.
 
 use crate::controller::Controller;
 use crate::controller::calls::{ApiCall, PendingCall};
@@ -21,7 +21,7 @@
     observed: BTreeSet<String>,
     /// Jobs that were observed before the listing in progress began.
     being_listed: BTreeSet<String>,
-    /// Acceptances may have been missed, so the shard is to be listed whatever was observed.
+    /// Acceptances may have been missed, so the shard is listed even if no job was observed.
     records_missed: bool,
 }
 
@@ -52,10 +52,10 @@
         self.by_shard.entry(shard).or_default().records_missed = true;
     }
 
-    /// Drops the observed jobs for which `needs_recovery` is false, and shards without any job.
-    fn retain(&mut self, needs_recovery: impl Fn(&str) -> bool) {
+    /// Drops the observed jobs for which `is_missing` is false, and shards without any job.
+    fn retain(&mut self, is_missing: impl Fn(&str) -> bool) {
         self.by_shard.retain(|_, unlisted| {
-            unlisted.observed.retain(|id| needs_recovery(id));
+            unlisted.observed.retain(|id| is_missing(id));
             !unlisted.is_empty()
         });
     }
@@ -99,7 +99,7 @@
     /// Number of unlisted jobs.
     pub(crate) fn len(&self) -> usize {
         let jobs =
-            |unlisted: &ShardUnlistedJobs| unlisted.observed.union(&unlisted.being_listed).count();
+            |unlisted: &ShardUnlistedJobs| unlisted.observed.len() + unlisted.being_listed.len();
         self.by_shard.values().map(jobs).sum()
     }
 }
@@ -110,7 +110,7 @@
     /// job is recovered as soon as that is possible; returns true then.
     fn observe_accepted_job(&mut self, jobs: &Jobs, id: &str, shard: usize) -> bool {
         let is_led = self.shards.get(shard).is_some_and(|shard| shard.leadership.is_some());
-        let is_unlisted = is_led && needs_recovery(jobs, id);
+        let is_unlisted = is_led && is_missing(jobs, id);
         if is_unlisted {
             self.unlisted_jobs.add(shard, id);
         }
@@ -129,9 +129,9 @@
     }
 }
 
-/// Whether an accepted job is to be recovered: it does not run here, it is not known to have ended,
+/// Whether an accepted job is missing here: it does not run, the cache does not show it as ended,
 /// and it was not found to be unreadable. Reading a malformed job again does not make it readable.
-fn needs_recovery(jobs: &Jobs, id: &str) -> bool {
+fn is_missing(jobs: &Jobs, id: &str) -> bool {
     !jobs.by_id.contains_key(id) && !jobs.stage_cache.is_final(id) && !jobs.is_unreadable(id)
 }
 
@@ -151,7 +151,7 @@
     /// progress. A job whose admission is in flight waits for its outcome.
     pub(crate) fn recover_unlisted_jobs(&mut self) {
         let jobs = &self.jobs;
-        self.leadership.unlisted_jobs.retain(|id| needs_recovery(jobs, id));
+        self.leadership.unlisted_jobs.retain(|id| is_missing(jobs, id));
         let shards: Vec<usize> = self.leadership.unlisted_jobs.by_shard.keys().copied().collect();
         for shard in shards {
             if self.serves_shard(shard) && !self.leadership.recoveries.contains_key(&shard) {
--- a/src/controller/machines/commands.rs
+++ b/src/controller/machines/commands.rs
@@ -2,14 +2,10 @@
 //! reconciliation, and the revocation of starts that are still in flight.
 
 use crate::controller::Controller;
-use crate::controller::autoscaler::Autoscaler;
 use crate::controller::decision_log::{self, DecisionCounts};
-use crate::controller::jobs::Jobs;
-use crate::controller::leadership::Leadership;
-use crate::controller::machines::desired_state::received::DesiredState;
 use crate::controller::machines::reconciler::{ReconcileInputs, Reconciler};
 use crate::controller::machines::start_permit::{CommandAuthority, CommandRoute, CommandViolation};
-use crate::peer::FORMAT_WITH_RAISED_TOKENS;
+use crate::peer::FORMAT_WITH_RAISED_FENCING_TOKENS;
 use crate::wire::Command;
 
 /// Maximum number of ended attempts on a machine that are kept, to spare its fencing token, while a
@@ -44,12 +40,12 @@
         let Some(managed) = self.machines.managed.get_mut(machine) else {
             return Vec::new();
         };
-        let inputs = reconcile_inputs(
-            &self.machines.desired,
-            &self.leadership,
-            &self.jobs,
-            &self.autoscaler,
-        );
+        let inputs = ReconcileInputs {
+            desired: &self.machines.desired,
+            shards: self.leadership.shards(),
+            stages: &self.jobs.stage_cache,
+            machine_types: &self.autoscaler.machine_types,
+        };
         let reconciler = Reconciler::collect(inputs, machine, managed, authority);
         let unknown_jobs = reconciler.unknown_jobs(managed);
         let outcome = reconciler.reconcile(managed, route);
@@ -62,79 +58,75 @@
         outcome.commands
     }
 
-    /// Raises a worker's fencing token if a start that must not be executed may still arrive by
-    /// a direct command. Once the worker has received the higher token, it refuses the start,
-    /// however late that arrives. If the token never reaches the worker, its lease expires and
-    /// ends the incarnation that the start is addressed to.
-    pub(crate) fn revoke_starts(&mut self, machine: &str) {
+    /// Raises a worker's fencing token if a direct command with a lower one must not be executed any
+    /// more. Once the worker has received the higher token, it refuses the command and its copies,
+    /// however late they arrive. If the token never reaches the worker, its lease expires and ends
+    /// the incarnation that the command is addressed to.
+    ///
+    /// There are two reasons: a start that may still arrive is revoked, or an ended attempt that a
+    /// copy of a command might run again is to be forgotten. The worker receives the token together
+    /// with the command to forget.
+    pub(crate) fn raise_fencing_token_if_due(&mut self, machine: &str) {
         let Some(authority) = self.command_authority(machine) else {
             return;
         };
+        let may_forget = self.may_raise_to_forget(machine, authority);
         let Some(managed) = self.machines.managed.get_mut(machine) else {
             return;
         };
-        if !managed.starts.has_pending_direct() {
+        if !managed.starts.has_pending_direct() && !may_forget {
             return;
         }
-        let inputs = reconcile_inputs(
-            &self.machines.desired,
-            &self.leadership,
-            &self.jobs,
-            &self.autoscaler,
-        );
+        let inputs = ReconcileInputs {
+            desired: &self.machines.desired,
+            shards: self.leadership.shards(),
+            stages: &self.jobs.stage_cache,
+            machine_types: &self.autoscaler.machine_types,
+        };
         let reconciler = Reconciler::collect(inputs, machine, managed, authority);
         let reason = |attempt: &_| reconciler.revocation_reason(attempt);
-        let Some(revocation) = managed.starts.find_revocation(authority.fencing_token, reason)
-        else {
+        let counts = &mut self.counts.decisions;
+        if let Some(revocation) = managed.starts.find_revocation(authority.fencing_token, reason) {
+            let tasks_beside = managed.active_tasks().count();
+            counts.raised_fencing_tokens += 1;
+            counts.tasks_beside_raises += tasks_beside as u64;
+            decision_log::raise_fencing_token(
+                authority.evidence(machine),
+                &revocation.attempt,
+                revocation.revoked_fencing_token,
+                tasks_beside,
+                revocation.reason,
+            );
+        } else if may_forget
+            && let Some(attempt) = reconciler.forgettable_with_higher_fencing_token(managed)
+        {
+            counts.fencing_tokens_raised_to_forget += 1;
+            decision_log::raise_fencing_token_to_forget(authority.evidence(machine), attempt);
+        } else {
             return;
-        };
-        let tasks_beside = managed.active_tasks().count();
-        self.counts.decisions.raised_fencing_tokens += 1;
-        self.counts.decisions.tasks_beside_raises += tasks_beside as u64;
-        decision_log::raise_fencing_token(
-            authority.evidence(machine),
-            &revocation.attempt,
-            revocation.revoked_fencing_token,
-            tasks_beside,
-            revocation.reason,
-        );
+        }
         managed.raise_fencing_token();
+        if managed.has_used_term() {
+            self.leadership.begin_handover(authority.shard);
+        }
     }
 
-    /// Raises a worker's fencing token if it has an ended attempt to forget that a copy of a direct
-    /// command might run again: the token reaches the worker with the command to forget. While a
-    /// direct command is in flight, which the worker would refuse with its old token, the attempt
-    /// is kept; so are a few attempts while a peer of an earlier version could not command the
-    /// worker with a raised token.
-    pub(crate) fn raise_token_to_forget(&mut self, machine: &str) {
-        let (Some(authority), Some(managed)) =
-            (self.command_authority(machine), self.machines.managed.get_mut(machine))
-        else {
-            return;
-        };
-        let kept = managed.ended_startable_again(authority.fencing_token).count();
-        let has_earlier_version =
-            self.peers.any_live_with_format_below(FORMAT_WITH_RAISED_TOKENS, self.context.now);
-        let max_kept = if has_earlier_version { MAX_KEPT_DURING_UPGRADE } else { 0 };
-        if managed.direct_in_flight || kept <= max_kept {
-            return;
-        }
-        let inputs = reconcile_inputs(
-            &self.machines.desired,
-            &self.leadership,
-            &self.jobs,
-            &self.autoscaler,
-        );
-        let reconciler = Reconciler::collect(inputs, machine, managed, authority);
-        let Some(attempt) = reconciler.forgettable_with_higher_token(managed) else {
-            return;
+    /// Whether a machine has ended attempts that a copy of a direct command might run again, and its
+    /// fencing token may be raised to forget them. It may not while a direct command is in flight,
+    /// which the worker would refuse, nor for a few attempts while a live peer runs a version that
+    /// could not command the worker afterwards.
+    fn may_raise_to_forget(&self, machine: &str, authority: CommandAuthority) -> bool {
+        let Some(managed) = self.machines.managed.get(machine) else {
+            return false;
         };
-        self.counts.decisions.fencing_tokens_raised_to_forget += 1;
-        decision_log::raise_fencing_token_to_forget(authority.evidence(machine), &attempt);
-        managed.raise_fencing_token();
-        if managed.needs_new_term() {
-            self.leadership.begin_handover(authority.shard);
+        let ended = managed.ended_startable_again(authority.fencing_token).count();
+        if ended == 0 || managed.direct_in_flight {
+            return false;
         }
+        let has_earlier_version = self
+            .peers
+            .any_live_with_format_below(FORMAT_WITH_RAISED_FENCING_TOKENS, self.context.now);
+        ended > MAX_KEPT_DURING_UPGRADE || !has_earlier_version
     }
 
     /// Records a violation if a start of a job that is done or cancelled may still arrive at a
@@ -153,22 +145,6 @@
     }
 }
 
-/// Inputs of reconciliation from the components that own them. It takes no machines besides their
-/// desired state, so that the caller can change the machine that is reconciled.
-fn reconcile_inputs<'a>(
-    desired: &'a [DesiredState],
-    leadership: &'a Leadership,
-    jobs: &'a Jobs,
-    autoscaler: &'a Autoscaler,
-) -> ReconcileInputs<'a> {
-    ReconcileInputs {
-        desired,
-        shards: leadership.shards(),
-        stages: &jobs.stage_cache,
-        machine_types: &autoscaler.machine_types,
-    }
-}
-
 fn count_commands(counts: &mut DecisionCounts, commands: &[Command], route: CommandRoute) {
     for command in commands {
         match (command, route) {
--- a/src/controller/machines/heartbeats.rs
+++ b/src/controller/machines/heartbeats.rs
@@ -75,8 +75,7 @@
         };
         let machine = heartbeat.machine;
         self.record_outcomes(&machine, applied.outcomes);
-        self.revoke_starts(&machine);
-        self.raise_token_to_forget(&machine);
+        self.raise_fencing_token_if_due(&machine);
         let commands = if applied.under_term {
             self.reconcile_machine(&machine, CommandRoute::HeartbeatResponse)
         } else {
--- a/src/controller/machines/machine/mod.rs
+++ b/src/controller/machines/machine/mod.rs
@@ -101,9 +101,9 @@
         fencing_token::raised_fencing_token(term, self.fencing_token_raises)
     }
 
-    /// Whether so many fencing tokens of the term are used that the next term is due. Some are
-    /// left to revoke starts until then.
-    pub fn needs_new_term(&self) -> bool {
+    /// Whether the fencing token was raised so often that the shard should be led under a new term.
+    /// The term still has some until then.
+    pub fn has_used_term(&self) -> bool {
         self.fencing_token_raises >= fencing_token::RAISES_PER_TERM
     }
 
--- a/src/controller/machines/reconciler.rs
+++ b/src/controller/machines/reconciler.rs
@@ -232,14 +232,13 @@
 
     /// An ended attempt that no shard desires and that the worker may forget only with a higher
     /// fencing token; `None` if there is none.
-    pub(crate) fn forgettable_with_higher_token(
+    pub(crate) fn forgettable_with_higher_fencing_token<'m>(
         &self,
-        managed: &ManagedMachine,
-    ) -> Option<AttemptId> {
+        managed: &'m ManagedMachine,
+    ) -> Option<&'m AttemptId> {
         managed
             .ended_startable_again(self.authority.fencing_token)
             .find(|attempt| self.undesired.contains(*attempt))
-            .cloned()
     }
 
     /// How and why an attempt on the machine is to be stopped; `None` if it is not.
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -10,9 +10,9 @@
 /// operators should see during an upgrade; a version that sends no format counts as 0.
 pub const FORMAT: u32 = 1;
 /// Lowest format whose version acquires shards with a term above all fencing tokens that were
-/// raised under earlier terms. Under a leader of an earlier version, a worker with a raised token
-/// executes no command.
-pub const FORMAT_WITH_RAISED_TOKENS: u32 = 1;
+/// raised under earlier terms. Under a leader of an earlier version, a worker whose fencing token
+/// was raised executes no command.
+pub const FORMAT_WITH_RAISED_FENCING_TOKENS: u32 = 1;
 
 /// A message from a controller to its peers: the sender's state, and what has changed since its
 /// last frame.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -25,6 +25,6 @@
     MachineDesired, MachineDesiredMessage, Phase, Shape,
 };
 pub use encoding::{FrameError, MAX_FRAME_BYTES, ReadFrame, read_frame, write_frame};
-pub use frame::{FORMAT, FORMAT_WITH_RAISED_TOKENS, Frame};
+pub use frame::{FORMAT, FORMAT_WITH_RAISED_FENCING_TOKENS, Frame};
 pub use shards::{AddressHint, MisdirectedHeartbeats, ShardClaim};
 pub use views::{AppliedUpdate, MachineView, ObservedState, ObservedTask};
--- a/tests/components/machines.rs
+++ b/tests/components/machines.rs
@@ -395,11 +395,11 @@
     assert!(!machine.starts.may_start_again.contains_key(&attempt_id(3)));
     // The tokens of a term are limited, and none belongs to another term. A new term is due while
     // there are some left.
-    assert!(!machine.needs_new_term());
+    assert!(!machine.has_used_term());
     for _ in 0..RAISES_PER_TERM {
         machine.raise_fencing_token();
     }
-    assert!(machine.needs_new_term());
+    assert!(machine.has_used_term());
     assert!(machine.fencing_token(term).is_some_and(|token| token.0 < next_term(term)));
     for _ in 0..TERM_STRIDE {
         machine.raise_fencing_token();
