Test that no fencing token is raised while a direct command is in flight

Need: with the guard taken out, no test failed (found by taking guards out one at a time). Test: no_higher_token_while_a_direct_command_is_in_flight. Without the guard the worker refuses the start in flight (409 for 200), with it the start is executed.

--- a/tests/controller/safety_guards/starts.rs
+++ b/tests/controller/safety_guards/starts.rs
@@ -67,6 +67,29 @@
     assert_eq!(harness.refused_commands, 0, "a command of the controller is refused");
 }
 
+/// Guards against a start that its worker refuses only because the fencing token was raised
+/// meanwhile. An ended attempt is forgotten with a higher token, but not while a direct command with
+/// the old one is in flight.
+#[test]
+fn no_higher_token_while_a_direct_command_is_in_flight() {
+    let mut harness = Harness::ready("", &[]);
+    harness.add_machine();
+    harness.run(Micros::secs(5));
+    assert_eq!(harness.submit(&submission("j-1")).status, 201);
+    while harness.get("j/j-1").is_none_or(|item| item.value["g"] != "d") {
+        harness.run(Micros::millis(10));
+    }
+    harness.hold_starts = true;
+    assert_eq!(harness.submit(&submission("j-2")).status, 201);
+    // The worker sends a heartbeat, in whose response j-1 could be forgotten.
+    harness.run(Micros::millis(2_500));
+    assert_eq!(harness.deliver_held_commands(), [200], "the start of j-2");
+    harness.hold_starts = false;
+    harness.run(Micros::secs(10));
+    assert_eq!(harness.poll("j-2").status_and_stage(), (200, "done"));
+    assert_eq!(harness.repeat_direct_starts(), [409], "j-1 is forgotten in the end");
+}
+
 /// Guards against machines that a peer of an earlier version could not command if it acquired their
 /// shard: its terms are not above raised fencing tokens. While such a peer is alive, ended attempts
 /// are kept, and no token is raised for them.
