--- a/tests/controller/safety_guards/starts.rs
+++ b/tests/controller/safety_guards/starts.rs
@@ -1,6 +1,8 @@
 //! Direct starts that arrive late, or again.
 
+use super::shard_status;
 use crate::harness::{Harness, settings, submission};
+use millethold::controller::leadership::fencing_token::RAISES_PER_TERM;
 use millethold::peer::{FORMAT, Frame};
 use millethold::time::Micros;
 
@@ -82,7 +84,7 @@
     harness.hold_starts = true;
     assert_eq!(harness.submit(&submission("j-2")).status, 201);
     // The worker sends a heartbeat, in whose response j-1 could be forgotten.
-    harness.run(Micros::millis(2_500));
+    harness.run(Micros::millis(1_200));
     assert_eq!(harness.deliver_held_commands(), [200], "the start of j-2");
     harness.hold_starts = false;
     harness.run(Micros::secs(10));
@@ -115,3 +117,32 @@
         assert_eq!(harness.started_tasks, ["j-1/0", "j-1/1"], "format {format}: started again");
     }
 }
+
+/// Guards against a machine that stands idle because its shard's term has no fencing token left for
+/// it. Before that, the shard is led under a new term.
+#[test]
+fn new_term_before_all_fencing_tokens_are_used() {
+    let mut harness = Harness::ready("", &[]);
+    harness.add_machine();
+    harness.run(Micros::secs(5));
+    let (first_term, _) = shard_status(&harness, 0);
+    // Not every job leads to a raise: some are started in heartbeat responses.
+    let max_jobs = 4 * RAISES_PER_TERM;
+    let mut jobs = 0;
+    while shard_status(&harness, 0).0 == first_term {
+        assert!(jobs < max_jobs, "still term {first_term} after {jobs} jobs");
+        jobs += 1;
+        harness.calls.clear();
+        harness.submit(&submission(&format!("j-{jobs}")));
+        harness.run(Micros::millis(2_500));
+    }
+    let status = harness.controller.status(harness.now);
+    let raised = status["counts"]["decisions"]["tokens_raised_to_forget"].as_u64();
+    assert_eq!(raised, Some(RAISES_PER_TERM), "raised before the new term");
+    harness.run(Micros::secs(5));
+    let started = harness.started_tasks.len();
+    assert_eq!(harness.submit(&submission("j-0")).status, 201);
+    harness.run(Micros::secs(10));
+    assert_eq!(harness.started_tasks[started..], ["j-0/0", "j-0/1"]);
+    assert_eq!(harness.poll("j-0").status_and_stage(), (200, "done"));
+}
