--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -95,7 +95,6 @@
     requests: Bucket,
     changes: Bucket,
     rules: Vec<Rule>,
-    pub refused_429: u64,
 }
 
 pub struct Store {
@@ -129,7 +128,6 @@
                 requests: bucket(rps),
                 changes: bucket(write_rps),
                 rules: Vec::new(),
-                refused_429: 0,
             }),
             changed: Condvar::new(),
             txn_ops,
@@ -159,10 +157,6 @@
         self.state.lock().unwrap().keys.get(key).map(|e| e.value.clone())
     }
 
-    pub fn count_429(&self) -> u64 {
-        self.state.lock().unwrap().refused_429
-    }
-
     fn expire(&self) {
         let mut state = self.state.lock().unwrap();
         let now = Instant::now();
@@ -241,7 +235,6 @@
         }
         let mut state = self.state.lock().unwrap();
         if !state.requests.take(1.0) {
-            state.refused_429 += 1;
             return (429, "{}".into());
         }
         let bad = (400, "{\"error\":\"malformed\"}".to_string());
@@ -347,7 +340,6 @@
             return (400, "{\"error\":\"too large\"}".into());
         }
         if !writes.is_empty() && !state.changes.take(writes.len() as f64) {
-            state.refused_429 += 1;
             return (429, "{}".into());
         }
         for write in writes {
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -150,7 +150,8 @@
     baton_told: Instant,
 }
 
-/// One start of a task on a machine.
+/// One start of a task on a machine, as it is written to the record.
+#[allow(dead_code)]
 #[derive(Clone, Debug)]
 pub struct Start {
     pub at: f64,
@@ -339,14 +340,6 @@
         Some(status.to_string())
     }
 
-    /// The last lines of a controller's log.
-    pub fn log_tail(&self, node: usize, lines: usize) -> String {
-        let text = std::fs::read(self.logs.join(format!("node-{node}.log"))).unwrap_or_default();
-        let text = String::from_utf8_lossy(&text).to_string();
-        let all: Vec<&str> = text.lines().collect();
-        all[all.len().saturating_sub(lines)..].join("\n")
-    }
-
     pub fn stop(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
         for node in 0..3 {
