Count and log reads that are older than the watch of jobs

Change: calls that read jobs' records carry their origin, when they were sent and under which start of the watch of jobs; a read of an unfinished job that was sent before the watch started and is answered afterwards is logged and counted on /status (outdated_reads), and so is the revision from which a watch starts. No change of behaviour.

--- a/src/controller/api/cancellation_requests.rs
+++ b/src/controller/api/cancellation_requests.rs
@@ -3,7 +3,7 @@
 
 use crate::controller::api::pending::CancelledJob;
 use crate::controller::api::record_reads::RecordRead;
-use crate::controller::calls::ApiCall;
+use crate::controller::calls::{ApiCall, CallOrigin};
 use crate::controller::jobs::dependency_graph::DependencyOutcome;
 use crate::controller::jobs::job::{self, JobRecord, StoredStage};
 use crate::controller::{CachedStage, Controller, Ticket};
@@ -30,7 +30,12 @@
         if tries == 0 {
             return self.respond_retry_later(ticket, 503, "undecided");
         }
-        let call = ApiCall::ReadToCancel { ticket, job: id.to_string(), tries_left: tries - 1 };
+        let call = ApiCall::ReadToCancel {
+            ticket,
+            job: id.to_string(),
+            tries_left: tries - 1,
+            origin: self.call_origin(),
+        };
         self.context.call_store(call, KvRequest::Get(job::job_key(id)));
     }
 
@@ -40,9 +45,10 @@
         ticket: Ticket,
         job: String,
         tries_left: u32,
+        origin: CallOrigin,
         reply: &KvResponse,
     ) {
-        match self.apply_record_reply(&job, reply) {
+        match self.apply_record_reply(&job, origin, reply) {
             // Already cancelled through one of its dependencies.
             RecordRead::Found { cached, .. }
                 if matches!(
--- a/src/controller/api/counters.rs
+++ b/src/controller/api/counters.rs
@@ -35,6 +35,9 @@
     /// Heartbeats that could not be parsed.
     #[serde(rename = "bad_reports")]
     pub(crate) bad_heartbeats: u64,
+    /// Reads that were answered after the watch of jobs had started anew, with a state that may
+    /// have changed before it did.
+    pub(crate) outdated_reads: u64,
     /// Decisions, by kind.
     pub(crate) decisions: DecisionCounts,
 }
--- a/src/controller/api/dependency_comparison.rs
+++ b/src/controller/api/dependency_comparison.rs
@@ -1,13 +1,12 @@
 //! Answers about jobs with pending dependencies, given only after the store has confirmed
 //! that none of the dependencies is cancelled.
 
-use crate::controller::calls::ApiCall;
+use crate::controller::calls::{ApiCall, CallOrigin};
 use crate::controller::jobs::dependency_graph::{DependencyOutcome, UnfinishedJob};
 use crate::controller::jobs::job;
 use crate::controller::jobs::stage_cache::CachedStage;
 use crate::controller::{Controller, Ticket};
 use crate::kv_store::{KvRequest, KvResponse};
-use crate::time::Micros;
 use crate::wire::{Condition, Txn};
 
 /// Conditions that the store accepts in a transaction for each write that it allows.
@@ -43,7 +42,7 @@
             ticket,
             status,
             job: id.to_string(),
-            sent_at: self.context.now,
+            origin: self.call_origin(),
         };
         self.context.call_store(call, KvRequest::Txn(txn));
     }
@@ -54,7 +53,7 @@
         ticket: Ticket,
         status: u16,
         id: &str,
-        sent_at: Micros,
+        origin: CallOrigin,
         reply: &KvResponse,
     ) {
         let Some(cached) = self.jobs.stage_cache.get(id) else {
@@ -67,7 +66,7 @@
             return self.answer_with_stage(ticket, status, id, cached);
         }
         match reply {
-            KvResponse::Applied(_) if self.is_fresh(sent_at) => {
+            KvResponse::Applied(_) if self.is_fresh(origin.sent_at) => {
                 let answer = self.job_answer(id, cached);
                 self.context.respond(ticket, status, None, &answer);
             }
--- a/src/controller/api/dependency_lookup.rs
+++ b/src/controller/api/dependency_lookup.rs
@@ -2,7 +2,7 @@
 
 use crate::controller::api::pending::PreparedAnswer;
 use crate::controller::api::record_reads::RecordRead;
-use crate::controller::calls::ApiCall;
+use crate::controller::calls::{ApiCall, CallOrigin};
 use crate::controller::jobs::job::{self, MAX_SINGLE_READS};
 use crate::controller::{Controller, Ticket};
 use crate::kv_store::{KvRequest, KvResponse};
@@ -99,15 +99,25 @@
             failed: false,
         });
         for id in unknown {
-            let key = job::job_key(&id);
-            self.context
-                .call_store(ApiCall::LookUpDependency { number, job: id }, KvRequest::Get(key));
+            self.look_up_dependency(number, id);
         }
     }
 
+    fn look_up_dependency(&mut self, number: u64, id: String) {
+        let key = job::job_key(&id);
+        let call = ApiCall::LookUpDependency { number, job: id, origin: self.call_origin() };
+        self.context.call_store(call, KvRequest::Get(key));
+    }
+
     /// Handles the reply to the read of a dependency, for the lookup of this number.
-    pub(crate) fn look_up_dependency_reply(&mut self, number: u64, id: &str, reply: &KvResponse) {
-        let read = self.apply_record_reply(id, reply);
+    pub(crate) fn look_up_dependency_reply(
+        &mut self,
+        number: u64,
+        id: &str,
+        origin: CallOrigin,
+        reply: &KvResponse,
+    ) {
+        let read = self.apply_record_reply(id, origin, reply);
         let known = self.jobs.stage_cache.contains(id);
         let lookups = &mut self.api.dependency_lookups;
         let Some(lookup) = lookups.by_number.get_mut(&number) else {
--- a/src/controller/api/record_reads.rs
+++ b/src/controller/api/record_reads.rs
@@ -1,11 +1,11 @@
 //! Reads of single jobs' records for answers to users.
 
 use crate::controller::api::pending::PreparedAnswer;
-use crate::controller::calls::ApiCall;
+use crate::controller::calls::{ApiCall, CallOrigin};
 use crate::controller::jobs::job::{self, JobRecord, StoredStage};
 use crate::controller::{CachedStage, Controller, Effect, Ticket};
 use crate::kv_store::{KvRequest, KvResponse};
-use crate::time::Micros;
+use log::debug;
 
 /// Result of a read of a job's record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,7 +33,7 @@
         if_absent: PreparedAnswer,
     ) {
         let job = id.to_string();
-        let call = ApiCall::ReadSubmitted { ticket, job, sent_at: self.context.now, if_absent };
+        let call = ApiCall::ReadSubmitted { ticket, job, origin: self.call_origin(), if_absent };
         self.context.call_store(call, KvRequest::Get(job::job_key(id)));
     }
 
@@ -42,13 +42,13 @@
         &mut self,
         ticket: Ticket,
         id: &str,
-        sent_at: Micros,
+        origin: CallOrigin,
         if_absent: PreparedAnswer,
         reply: &KvResponse,
     ) {
-        match self.apply_record_reply(id, reply) {
+        match self.apply_record_reply(id, origin, reply) {
             RecordRead::Found { cached, .. }
-                if cached.stage == StoredStage::Accepted && !self.is_fresh(sent_at) =>
+                if cached.stage == StoredStage::Accepted && !self.is_fresh(origin.sent_at) =>
             {
                 self.respond_retry_later(ticket, 503, "the state service is slow");
             }
@@ -70,7 +70,12 @@
 
     /// Applies a read of `j/REF`: caches the job's stage and dependencies, stops the job if it is
     /// cancelled, and recovers an accepted job that this process should run.
-    pub(crate) fn apply_record_reply(&mut self, job: &str, reply: &KvResponse) -> RecordRead {
+    pub(crate) fn apply_record_reply(
+        &mut self,
+        job: &str,
+        origin: CallOrigin,
+        reply: &KvResponse,
+    ) -> RecordRead {
         let item = match reply {
             KvResponse::Value(Some(item)) => item,
             KvResponse::Value(None) => return RecordRead::NoSuchJob,
@@ -80,6 +85,10 @@
             return RecordRead::Unknown;
         };
         let revision = item.revision;
+        if record.stage == StoredStage::Accepted && self.leadership.is_outdated(origin) {
+            self.counts.outdated_reads += 1;
+            debug!("read of job {job} at revision {revision} is older than the watch of jobs");
+        }
         let read =
             CachedStage { stage: record.stage, shard: record.shard, tasks: record.tasks, revision };
         self.jobs.dependency_graph.apply_record(job, &record);
--- a/src/controller/api/status_queries.rs
+++ b/src/controller/api/status_queries.rs
@@ -10,7 +10,7 @@
 use crate::controller::api::counters::Counters;
 use crate::controller::api::pending::{QueriedJobs, StatusQuery, WaitingUser};
 use crate::controller::api::record_reads::RecordRead;
-use crate::controller::calls::ApiCall;
+use crate::controller::calls::{ApiCall, CallOrigin};
 use crate::controller::context::Context;
 use crate::controller::jobs::dependency_graph::DependencyOutcome;
 use crate::controller::jobs::job::{self, StoredStage};
@@ -159,7 +159,7 @@
 
     fn read_queried(&mut self, tickets: Vec<Ticket>, id: &str) {
         let job = id.to_string();
-        let call = ApiCall::ReadQueried { tickets, job, sent_at: self.context.now };
+        let call = ApiCall::ReadQueried { tickets, job, origin: self.call_origin() };
         self.context.call_store(call, KvRequest::Get(job::job_key(id)));
     }
 
@@ -209,6 +209,11 @@
         }
     }
 
+    /// The origin of a call that is sent now.
+    pub(crate) fn call_origin(&self) -> CallOrigin {
+        self.leadership.call_origin(self.context.now)
+    }
+
     /// Whether the result of a call sent at `sent_at` may still be answered as the current
     /// state: after [`MAX_READ_AGE`] another member may have answered with a newer one.
     pub(crate) fn is_fresh(&self, sent_at: Micros) -> bool {
@@ -220,14 +225,14 @@
         &mut self,
         tickets: Vec<Ticket>,
         job: &str,
-        sent_at: Micros,
+        origin: CallOrigin,
         reply: &KvResponse,
     ) {
-        let read = self.apply_record_reply(job, reply);
+        let read = self.apply_record_reply(job, origin, reply);
         for ticket in tickets {
             match read {
                 RecordRead::Found { cached, .. }
-                    if cached.stage == StoredStage::Accepted && !self.is_fresh(sent_at) =>
+                    if cached.stage == StoredStage::Accepted && !self.is_fresh(origin.sent_at) =>
                 {
                     self.respond_retry_later(ticket, 503, "the state service is slow");
                 }
@@ -236,7 +241,7 @@
                 }
                 // Accepted since the read, or the read is too old to be answered.
                 RecordRead::NoSuchJob
-                    if self.jobs.stage_cache.contains(job) || !self.is_fresh(sent_at) =>
+                    if self.jobs.stage_cache.contains(job) || !self.is_fresh(origin.sent_at) =>
                 {
                     self.respond_retry_later(ticket, 503, "the state service is slow");
                 }
--- a/src/controller/calls.rs
+++ b/src/controller/calls.rs
@@ -12,6 +12,7 @@
 use crate::controller::jobs::dependency_graph::FurtherDependencyKey;
 use crate::controller::jobs::job::ReadChunk;
 use crate::controller::jobs::write_plan::JobWrite;
+use crate::controller::leadership::watches::WatchGeneration;
 use crate::controller::machines::attempt::AttemptId;
 use crate::time::Micros;
 use crate::wire::JobSpec;
@@ -46,7 +47,7 @@
     /// Reads the store's revision, from which a watch starts.
     StartWatch(Watch),
     /// Polls the jobs' changes while the watch of jobs waits.
-    PollChanges { sent_at: Micros },
+    PollChanges { origin: CallOrigin },
     /// Acquires a shard under a term, by the controller lease of an epoch.
     AcquireShard { shard: usize, term: u64, epoch: u64 },
     /// Releases a shard.
@@ -57,29 +58,39 @@
     ReadRecoveredRecord { shard: usize, term: u64, job: String },
 }
 
-/// Purpose of a call that a user's request waits for.
+/// When a call was sent.
 ///
-/// `sent_at` is when the call was sent. The store evaluates the call at some later moment, but the
-/// reply is only certain to include changes made before `sent_at`, so its age is counted from then:
-/// see [`Controller::is_fresh`](super::Controller::is_fresh).
+/// The store evaluates the call at some later moment, but the reply is only certain to include the
+/// changes that were made before the call was sent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallOrigin {
+    /// Time from which the age of the reply is counted: see
+    /// [`Controller::is_fresh`](super::Controller::is_fresh).
+    pub(crate) sent_at: Micros,
+    /// Generation of the watch of jobs: see
+    /// [`Leadership::is_outdated`](super::leadership::Leadership::is_outdated).
+    pub(crate) generation: WatchGeneration,
+}
+
+/// Purpose of a call that a user's request waits for. `sent_at` is as in [`CallOrigin`].
 #[derive(Debug, Clone)]
 pub(crate) enum ApiCall {
     /// Accepts jobs.
     Admit(AdmissionGroup),
     /// Reads the record of a job on which a submitted one depends; `number` identifies the lookup.
-    LookUpDependency { number: u64, job: String },
+    LookUpDependency { number: u64, job: String, origin: CallOrigin },
     /// Writes lists of dependencies that do not fit in the job's record, up to `last_list`.
     StoreDependencies { ticket: Ticket, spec: Rc<JobSpec>, spec_bytes: usize, last_list: usize },
     /// Compares the revisions of all unfinished jobs that a job depends on.
-    CompareDependencies { ticket: Ticket, status: u16, job: String, sent_at: Micros },
+    CompareDependencies { ticket: Ticket, status: u16, job: String, origin: CallOrigin },
     /// Reads the record of a submitted job that the store may already have.
-    ReadSubmitted { ticket: Ticket, job: String, sent_at: Micros, if_absent: PreparedAnswer },
+    ReadSubmitted { ticket: Ticket, job: String, origin: CallOrigin, if_absent: PreparedAnswer },
     /// Reads the record of a job whose status is queried.
-    ReadQueried { tickets: Vec<Ticket>, job: String, sent_at: Micros },
+    ReadQueried { tickets: Vec<Ticket>, job: String, origin: CallOrigin },
     /// Compares the revisions of jobs whose status is queried.
     CompareStages { jobs: QueriedJobs, sent_at: Micros },
     /// Reads the record of a job that its user cancels.
-    ReadToCancel { ticket: Ticket, job: String, tries_left: u32 },
+    ReadToCancel { ticket: Ticket, job: String, tries_left: u32, origin: CallOrigin },
     /// Writes that a job is cancelled by its user.
     WriteCancellation { ticket: Ticket, job: CancelledJob, tries_left: u32 },
 }
@@ -89,7 +100,7 @@
 #[derive(Debug, Clone)]
 pub(crate) enum JobsCall {
     /// Reads a page of records that begins at the job `first`.
-    ReadRecordPage { first: String },
+    ReadRecordPage { first: String, origin: CallOrigin },
     /// Reads a further key that holds dependencies of a job.
     ReadDependencies(FurtherDependencyKey),
     /// Writes that a local job is cancelled because a job that it depends on was cancelled.
@@ -103,7 +114,7 @@
     /// Writes changes of a job.
     Store { job: String, term: u64, write: JobWrite },
     /// Reads a job's record back.
-    ReadBack { job: String, term: u64 },
+    ReadBack { job: String, term: u64, origin: CallOrigin },
     /// Reads a page of a job's chunks back; `read` contains those of the earlier pages.
     ReadBackChunks { job: String, term: u64, read: BTreeMap<usize, ReadChunk> },
 }
@@ -112,7 +123,7 @@
 #[derive(Debug, Clone)]
 pub(crate) enum MachinesCall {
     /// Reads the record of a job that runs on a machine and is unknown to this process.
-    ReadUnknownJob { job: String },
+    ReadUnknownJob { job: String, origin: CallOrigin },
     /// Sends direct commands under a term of the machine's shard; `starts` are the starts among
     /// them.
     Direct { machine: String, starts: Vec<AttemptId>, term: u64 },
--- a/src/controller/jobs/read_back.rs
+++ b/src/controller/jobs/read_back.rs
@@ -5,12 +5,12 @@
 use super::job::{self, ChunkVersion, Job, JobRecord, ReadChunk, StoredStage};
 use super::stage_cache::CachedStage;
 use crate::controller::Controller;
-use crate::controller::calls::JobsCall;
+use crate::controller::calls::{CallOrigin, JobsCall};
 use crate::controller::context::Context;
 use crate::controller::leadership::Leadership;
 use crate::kv_store::{KvRequest, KvResponse};
 use crate::time::Micros;
-use log::warn;
+use log::{debug, warn};
 use std::collections::BTreeMap;
 
 /// Pause in a job's placements after a failed read-back.
@@ -34,7 +34,8 @@
             return;
         };
         job.store_call_in_flight = true;
-        let call = JobsCall::ReadBack { job: id.to_string(), term: led.term };
+        let origin = leadership.call_origin(context.now);
+        let call = JobsCall::ReadBack { job: id.to_string(), term: led.term, origin };
         context.call_store(call, KvRequest::Get(job::job_key(id)));
     }
 
@@ -90,7 +91,13 @@
     }
 
     /// Handles the reply with a job's record, then reads the job's chunks back.
-    pub(super) fn record_read_back_reply(&mut self, id: &str, term: u64, reply: KvResponse) {
+    pub(super) fn record_read_back_reply(
+        &mut self,
+        id: &str,
+        term: u64,
+        origin: CallOrigin,
+        reply: KvResponse,
+    ) {
         let Some(shard) = self.finish_store_call(id, term) else {
             return;
         };
@@ -105,6 +112,10 @@
                 return;
             }
         };
+        if record.stage == StoredStage::Accepted && self.leadership.is_outdated(origin) {
+            self.counts.outdated_reads += 1;
+            debug!("read of job {id} at revision {revision} is older than the watch of jobs");
+        }
         self.jobs.dependency_graph.apply_record(id, &record);
         let JobRecord { stage, shard: accepted_by, tasks, .. } = record;
         self.cache_stage(id, CachedStage { stage, shard: accepted_by, tasks, revision });
--- a/src/controller/jobs/record_pages.rs
+++ b/src/controller/jobs/record_pages.rs
@@ -8,7 +8,7 @@
 use super::job::{self, MAX_SINGLE_READS};
 use super::stage_cache::StageCache;
 use crate::controller::Controller;
-use crate::controller::calls::JobsCall;
+use crate::controller::calls::{CallOrigin, JobsCall};
 use crate::controller::context::Context;
 use crate::kv_store::{KvRequest, KvResponse};
 use crate::time::Micros;
@@ -77,7 +77,7 @@
 impl Jobs {
     /// Reads the next page, from the first requested job on, if more than half of this member's
     /// request budget is left.
-    fn read_record_page(&mut self, context: &mut Context, holds_lease: bool) {
+    fn read_record_page(&mut self, context: &mut Context, origin: CallOrigin, holds_lease: bool) {
         self.record_pages.clean_up(context.now, &self.stage_cache);
         let Some(first) = self.record_pages.next(context.now).cloned() else {
             return;
@@ -88,7 +88,7 @@
         self.record_pages.page_in_flight = true;
         let after = Some(job::key_before(&first));
         let call = KvRequest::List { prefix: job::job_key(""), after };
-        context.call_store(JobsCall::ReadRecordPage { first }, call);
+        context.call_store(JobsCall::ReadRecordPage { first, origin }, call);
     }
 }
 
@@ -104,12 +104,12 @@
 
     /// Reads the next page of requested records while this process holds its lease.
     pub(super) fn read_record_page(&mut self) {
-        let holds_lease = self.holds_lease();
-        self.jobs.read_record_page(&mut self.context, holds_lease);
+        let (origin, holds_lease) = (self.call_origin(), self.holds_lease());
+        self.jobs.read_record_page(&mut self.context, origin, holds_lease);
     }
 
     /// Handles the reply with a page of records that begins at the job `first`.
-    pub(super) fn record_page_reply(&mut self, first: &str, reply: KvResponse) {
+    pub(super) fn record_page_reply(&mut self, first: &str, origin: CallOrigin, reply: KvResponse) {
         self.jobs.record_pages.page_in_flight = false;
         let KvResponse::Page { items, more, .. } = reply else {
             self.jobs.record_pages.not_before = self.context.now + FAILED_PAGE_PAUSE;
@@ -119,7 +119,7 @@
         for item in items {
             let id = item.key.strip_prefix(&job::job_key("")).unwrap_or_default().to_string();
             if self.jobs.record_pages.requested.remove(&id) {
-                self.apply_record_reply(&id, &KvResponse::Value(Some(item)));
+                self.apply_record_reply(&id, origin, &KvResponse::Value(Some(item)));
             }
         }
         self.jobs.record_pages.mark_absent(self.context.now, first, last.as_deref());
--- a/src/controller/jobs/replies.rs
+++ b/src/controller/jobs/replies.rs
@@ -9,11 +9,15 @@
     pub(crate) fn jobs_reply(&mut self, call: JobsCall, reply: KvResponse) {
         match call {
             JobsCall::Store { job, term, write } => self.store_reply(&job, term, write, reply),
-            JobsCall::ReadBack { job, term } => self.record_read_back_reply(&job, term, reply),
+            JobsCall::ReadBack { job, term, origin } => {
+                self.record_read_back_reply(&job, term, origin, reply);
+            }
             JobsCall::ReadBackChunks { job, term, read } => {
                 self.chunks_read_back_reply(&job, term, read, reply);
             }
-            JobsCall::ReadRecordPage { first } => self.record_page_reply(&first, reply),
+            JobsCall::ReadRecordPage { first, origin } => {
+                self.record_page_reply(&first, origin, reply);
+            }
             JobsCall::ReadDependencies(further) => {
                 self.further_dependencies_reply(&further, &reply);
             }
--- a/src/controller/leadership/mod.rs
+++ b/src/controller/leadership/mod.rs
@@ -10,6 +10,7 @@
 pub mod fencing_token;
 pub mod shard;
 pub mod shard_lease;
+pub(crate) mod watches;
 
 mod acquisition;
 mod handover;
@@ -19,8 +20,8 @@
 mod replies;
 mod unlisted_jobs;
 mod watch_events;
-mod watches;
 
+use crate::controller::calls::CallOrigin;
 use crate::controller::event::DirectReply;
 use crate::time::Micros;
 use connectivity::Connectivity;
@@ -194,6 +195,17 @@
         self.watches.jobs_revision()
     }
 
+    /// The origin of a call that is sent now.
+    pub(crate) fn call_origin(&self, now: Micros) -> CallOrigin {
+        CallOrigin { sent_at: now, generation: self.watches.jobs_generation() }
+    }
+
+    /// Whether the reply to a call may be older than the revision from which the watch of jobs has
+    /// started since: changes in between are never delivered.
+    pub(crate) fn is_outdated(&self, origin: CallOrigin) -> bool {
+        origin.generation < self.watches.jobs_generation()
+    }
+
     /// Time up to which all changes of jobs have been received.
     pub(crate) fn jobs_caught_up_at(&self) -> Micros {
         self.watches.jobs_caught_up_at()
--- a/src/controller/leadership/replies.rs
+++ b/src/controller/leadership/replies.rs
@@ -33,12 +33,12 @@
             }
             LeadershipCall::StartWatch(watch) => self.watch_start_reply(watch, &reply),
             LeadershipCall::Watch(watch) => self.watch_reply(watch, reply),
-            LeadershipCall::PollChanges { sent_at } => {
+            LeadershipCall::PollChanges { origin } => {
                 // A failed poll is not retried: if polls fail, the watch fails too and is called
                 // again.
                 if let KvResponse::WatchEvents { revision, events } = reply {
                     self.apply_events(Watch::Jobs, events);
-                    self.leadership.watches.jobs_polled(revision, sent_at);
+                    self.leadership.watches.jobs_polled(revision, origin.sent_at);
                 }
             }
             LeadershipCall::AcquireShard { shard, term, epoch } => {
--- a/src/controller/leadership/watch_events.rs
+++ b/src/controller/leadership/watch_events.rs
@@ -8,7 +8,7 @@
 use crate::controller::leadership::{shard_lease, watches};
 use crate::kv_store::KvResponse;
 use crate::wire::{KeyValue, WatchEvent};
-use log::warn;
+use log::{debug, warn};
 use serde_json::Value;
 
 /// A change of a watched key.
@@ -109,7 +109,8 @@
         let KvResponse::Page { revision, items, .. } = reply else {
             return self.leadership.watches.failed(watch, &mut self.context);
         };
-        self.leadership.watches.state_mut(watch).answered(*revision);
+        self.leadership.watches.state_mut(watch).started(*revision);
+        debug!("the watch of {} starts from revision {revision}", watches::key_prefix(watch));
         match watch {
             Watch::ShardLeases => self.observe_leases(items),
             Watch::Jobs => self.job_changes_missed(),
--- a/src/controller/leadership/watches.rs
+++ b/src/controller/leadership/watches.rs
@@ -1,6 +1,6 @@
 //! Watches of the key-value store, by which this process receives changes.
 
-use crate::controller::calls::{LeadershipCall, Watch};
+use crate::controller::calls::{CallOrigin, LeadershipCall, Watch};
 use crate::controller::context::Context;
 use crate::controller::leadership::shard_lease;
 use crate::kv_store::KvRequest;
@@ -26,9 +26,18 @@
     }
 }
 
+/// Counts the starts of a watch.
+///
+/// A watch delivers only changes after the revision from which it started. The reply to a call that
+/// was sent under an earlier generation may be older than that revision, and what has changed in
+/// between is never delivered.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct WatchGeneration(u64);
+
 /// Progress of a watch.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct WatchState {
+    generation: WatchGeneration,
     /// Revision of the store up to which changes have been received; `None` before the first list,
     /// and after changes may have been missed.
     revision: Option<u64>,
@@ -53,6 +62,12 @@
         self.caught_up_at = self.caught_up_at.max(sent_at);
     }
 
+    /// Records that the watch starts from `revision`: earlier changes may have been missed.
+    pub(crate) fn started(&mut self, revision: u64) {
+        self.generation.0 += 1;
+        self.answered(revision);
+    }
+
     /// Records the reply to the call in flight, which contained all changes up to `revision`.
     pub(crate) fn answered(&mut self, revision: u64) {
         self.call_in_flight = false;
@@ -112,6 +127,11 @@
         self.jobs.caught_up_at
     }
 
+    /// Number of times that the watch of jobs has started.
+    pub(crate) fn jobs_generation(&self) -> WatchGeneration {
+        self.jobs.generation
+    }
+
     /// Whether the watch of jobs has started, so that no further change of a job is missed.
     pub(crate) fn follows_jobs(&self) -> bool {
         self.jobs.revision.is_some()
@@ -139,7 +159,8 @@
         self.jobs.next_poll_at = now + POLL_INTERVAL;
         let prefix = JOB_KEY_PREFIX.to_string();
         let call = KvRequest::Watch { prefix, after, block: Micros::ZERO };
-        context.call_store(LeadershipCall::PollChanges { sent_at: now }, call);
+        let origin = CallOrigin { sent_at: now, generation: self.jobs.generation };
+        context.call_store(LeadershipCall::PollChanges { origin }, call);
     }
 
     /// Records the reply to a poll of the jobs' changes that was sent at `sent_at`.
--- a/src/controller/machines/cancellation.rs
+++ b/src/controller/machines/cancellation.rs
@@ -8,7 +8,7 @@
 //! cancellations in time.
 
 use crate::config::{Settings, Workers};
-use crate::controller::calls::MachinesCall;
+use crate::controller::calls::{CallOrigin, MachinesCall};
 use crate::controller::jobs::job::{self, StoredStage};
 use crate::controller::leadership::controller_lease::CLOCK_DRIFT_PER_MILLE;
 use crate::controller::machines::attempt::AttemptId;
@@ -176,14 +176,15 @@
         let is_known = |id: &String| stages.contains(id);
         if let Some(id) = self.machines.cancellations.begin_read(self.context.now, is_known) {
             let key = job::job_key(&id);
-            self.context.call_store(MachinesCall::ReadUnknownJob { job: id }, KvRequest::Get(key));
+            let call = MachinesCall::ReadUnknownJob { job: id, origin: self.call_origin() };
+            self.context.call_store(call, KvRequest::Get(key));
         }
     }
 
     /// Handles the reply to the read of an unknown job's record.
-    pub(crate) fn unknown_job_reply(&mut self, id: &str, reply: &KvResponse) {
+    pub(crate) fn unknown_job_reply(&mut self, id: &str, origin: CallOrigin, reply: &KvResponse) {
         self.machines.cancellations.finish_read();
-        self.apply_record_reply(id, reply);
+        self.apply_record_reply(id, origin, reply);
     }
 
     /// Notifies peers of a cancellation that the key-value store has confirmed to this process
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -140,10 +140,10 @@
             (PendingCall::Jobs(call), Reply::KvStore(reply)) => self.jobs_reply(call, reply),
             (PendingCall::Quota(call), Reply::KvStore(reply)) => self.quota_reply(call, reply),
             (
-                PendingCall::Machines(MachinesCall::ReadUnknownJob { job }),
+                PendingCall::Machines(MachinesCall::ReadUnknownJob { job, origin }),
                 Reply::KvStore(reply),
             ) => {
-                self.unknown_job_reply(&job, &reply);
+                self.unknown_job_reply(&job, origin, &reply);
             }
             (PendingCall::Machines(call), Reply::Direct(reply)) => {
                 self.machines_reply(call, reply);
--- a/tests/controller/status_page.rs
+++ b/tests/controller/status_page.rs
@@ -92,7 +92,7 @@
         (
             &status["counts"],
             "accepted bad_reports cancelled cancelled_with_upstream decisions done failed \
-             image_hits lost placed preempted refused released reports",
+             image_hits lost outdated_reads placed preempted refused released reports",
         ),
         (
             &status["counts"]["decisions"],
