Read a local job back again if the watch of jobs has started meanwhile

Callers would see: a job that waits forever for one that was cancelled, after the key-value store has compacted changes. A read-back that is in flight when the watch of jobs starts anew shows the job as accepted; cached, that keeps the record from being read as that of an unknown job, which was the remedy for jobs with a call in flight. Change: such a read-back is repeated. Before: the row "read-back of a local job over a gap" failed. After: it passes.

--- a/src/controller/api/record_reads.rs
+++ b/src/controller/api/record_reads.rs
@@ -84,7 +84,10 @@
         let is_outdated = self.leadership.is_outdated(origin);
         let item = match reply {
             KvResponse::Value(Some(item)) => item,
-            KvResponse::Value(None) if is_outdated => return self.outdated_read(job, 0),
+            KvResponse::Value(None) if is_outdated => {
+                self.count_outdated_read(job, 0);
+                return RecordRead::Outdated;
+            }
             KvResponse::Value(None) => return RecordRead::NoSuchJob,
             _ => return RecordRead::Unknown,
         };
@@ -93,7 +96,8 @@
         };
         let revision = item.revision;
         if is_outdated && record.stage == StoredStage::Accepted {
-            return self.outdated_read(job, revision);
+            self.count_outdated_read(job, revision);
+            return RecordRead::Outdated;
         }
         let read =
             CachedStage { stage: record.stage, shard: record.shard, tasks: record.tasks, revision };
@@ -112,10 +116,10 @@
         RecordRead::Found { cached, revision }
     }
 
-    /// Counts and logs a read of a job's record at `revision` that must be repeated.
-    fn outdated_read(&mut self, job: &str, revision: u64) -> RecordRead {
+    /// Counts and logs a read of a job's record at `revision`, 0 if there was none, that must be
+    /// repeated.
+    pub(crate) fn count_outdated_read(&mut self, job: &str, revision: u64) {
         self.counts.outdated_reads += 1;
         debug!("read of job {job} at revision {revision} is older than the watch of jobs");
-        RecordRead::Outdated
     }
 }
--- a/src/controller/jobs/read_back.rs
+++ b/src/controller/jobs/read_back.rs
@@ -10,7 +10,7 @@
 use crate::controller::leadership::Leadership;
 use crate::kv_store::{KvRequest, KvResponse};
 use crate::time::Micros;
-use log::{debug, warn};
+use log::warn;
 use std::collections::BTreeMap;
 
 /// Pause in a job's placements after a failed read-back.
@@ -113,8 +113,8 @@
             }
         };
         if record.stage == StoredStage::Accepted && self.leadership.is_outdated(origin) {
-            self.counts.outdated_reads += 1;
-            debug!("read of job {id} at revision {revision} is older than the watch of jobs");
+            self.count_outdated_read(id, revision);
+            return self.read_back(id);
         }
         self.jobs.dependency_graph.apply_record(id, &record);
         let JobRecord { stage, shard: accepted_by, tasks, .. } = record;
