Do not believe an admission that is older than the start of the watch of jobs

Callers would see: queued for a job that another node has confirmed as cancelled, and jobs that wait for it forever. The transaction is applied, another member cancels the job, the watch of jobs starts anew after that, and only then the reply comes: the job was cached, answered and run as accepted. Change: such a reply is answered with the stored stage. The listing after a start of the watch finds the jobs, as those of an admission whose outcome is unknown. Before: the row "admission over a gap" was answered 201 queued. After: it passes.

--- a/src/controller/api/admission/outcome.rs
+++ b/src/controller/api/admission/outcome.rs
@@ -26,6 +26,9 @@
     pub(crate) fn admission_reply(&mut self, group: AdmissionGroup, reply: KvResponse) {
         self.api.admission.record_decided(group.submissions.len());
         match reply {
+            KvResponse::Applied(_) if self.leadership.is_outdated(group.origin) => {
+                self.read_accepted_group(group);
+            }
             KvResponse::Applied(revision) => self.group_accepted(group, revision),
             KvResponse::Conflict(failed_keys) => self.group_refused(group, &failed_keys),
             // The transaction may still be applied, or has been. The watch delivers the jobs'
@@ -39,7 +42,7 @@
     }
 
     fn group_accepted(&mut self, group: AdmissionGroup, revision: u64) {
-        let AdmissionGroup { submissions, shard, term, batch_key } = group;
+        let AdmissionGroup { submissions, shard, term, batch_key, .. } = group;
         // If this process has lost the shard since, its next leader recovers the jobs.
         let leadership = self.leadership.led_shard(shard);
         let still_led = leadership.is_some_and(|leadership| leadership.term == term);
@@ -54,6 +57,16 @@
         }
     }
 
+    /// Answers with the stored stages of jobs that were accepted before the watch of jobs started
+    /// anew, since they may have been cancelled before that, too. The listing that follows such a
+    /// start finds the jobs, as those of an admission whose outcome is unknown.
+    fn read_accepted_group(&mut self, group: AdmissionGroup) {
+        for submission in group.submissions {
+            let if_absent = PreparedAnswer::undecided();
+            self.read_job_or_answer(submission.ticket, &submission.spec.id, if_absent);
+        }
+    }
+
     /// Handles a failed condition: the shard lease has changed, or a job already has a record.
     fn group_refused(&mut self, group: AdmissionGroup, failed_keys: &[String]) {
         let lease_changed = failed_keys.contains(&shard_lease::lease_key(group.shard));
--- a/src/controller/api/admission/transaction.rs
+++ b/src/controller/api/admission/transaction.rs
@@ -43,7 +43,8 @@
         };
         txn.conditions.push(Condition { key: key.clone(), revision: 0 });
         txn.writes.push(Write::Put { key, value, lease: None });
-        let group = AdmissionGroup { submissions, shard, term: leadership.term, batch_key };
+        let (term, origin) = (leadership.term, self.call_origin());
+        let group = AdmissionGroup { submissions, shard, term, batch_key, origin };
         self.context.call_store(ApiCall::Admit(group), KvRequest::Txn(txn));
     }
 
--- a/src/controller/api/pending.rs
+++ b/src/controller/api/pending.rs
@@ -1,5 +1,6 @@
 //! State of requests whose answers wait for the key-value store or the peers.
 
+use crate::controller::calls::CallOrigin;
 use crate::controller::event::Ticket;
 use crate::time::Micros;
 use crate::wire::{JobSpec, Refusal};
@@ -33,6 +34,8 @@
     /// Key of the batch with the jobs' descriptions; `None` for a single job, which has a key
     /// of its own.
     pub(crate) batch_key: Option<String>,
+    /// When the transaction was sent.
+    pub(crate) origin: CallOrigin,
 }
 
 /// A job whose cancellation is being written.
--- a/tests/controller/safety_guards/outdated_replies.rs
+++ b/tests/controller/safety_guards/outdated_replies.rs
@@ -1,6 +1,7 @@
 //! Replies of the key-value store that are older than the revision from which a watch has started:
 //! the changes in between are never delivered.
 
+use super::writes;
 use crate::harness::{Harness, Outcome, settings, submission, submission_after};
 use millethold::controller::jobs::job::MAX_SINGLE_READS;
 use millethold::kv_store::KvRequest;
@@ -202,13 +203,35 @@
     harness.run(SHORT);
 }
 
+/// A job is accepted and then cancelled by the other controller, and the watches start anew before
+/// the reply to its admission comes.
+fn admission_over_a_gap(harness: &mut Harness) {
+    submit_dependent(harness);
+    harness.watches_hang = true;
+    hold_next_reply(harness, |call| writes(call, "j/"));
+    let ticket = harness.send_request("POST", "/work", submission("j-3").to_string().as_bytes());
+    harness.run(SHORT);
+    harness.put("j/j-3", json!({"s": 0, "g": "c", "n": 2}));
+    restart_watch_of_jobs(harness);
+    assert_eq!(harness.serve_held_calls(), 1, "an admission is in flight");
+    harness.run(SHORT);
+    let answer = harness.answer(ticket);
+    assert!(
+        answer.as_ref().is_none_or(|a| a.body["stage"] != "queued"),
+        "the user may know of the cancellation already: {answer:?}"
+    );
+    let answer = harness.submit(&submission_after("j-4", &["j-3"]));
+    assert!(matches!(answer.status, 200 | 201), "{answer:?}");
+    dependency_ends(harness);
+}
+
 /// Guards against an accepted job that waits forever for a dependency that has ended. A read of the
 /// dependency's record is older than the revision from which the watch of jobs starts, and its
 /// reply comes afterwards: cached, the old stage would never be corrected.
 #[test]
 fn dependents_are_released_although_a_read_crosses_the_start_of_the_watch() {
     type Trouble = fn(&mut Harness);
-    let table: [(&str, Trouble); 8] = [
+    let table: [(&str, Trouble); 9] = [
         ("status query at the start of the process", query_at_the_start),
         ("cancellation at the start of the process", cancellation_at_the_start),
         ("repeated submission at the start of the process", repeated_submission_at_the_start),
@@ -217,6 +240,7 @@
         ("read of a job that has become unknown over a gap", unknown_job_over_a_gap),
         ("page of records over a gap", page_over_a_gap),
         ("read-back of a local job over a gap", read_back_over_a_gap),
+        ("admission over a gap", admission_over_a_gap),
     ];
     let mut failed = Vec::new();
     for (name, trouble) in table {
