Ignore a poll's reply that is older than the start of the watch of jobs

Callers would see: a job that waits forever for one that is done. While the watch hangs, changes are polled; a reply with a job's acceptance that comes after the watch has started anew cached it as accepted, though its end came before that start. Change: the reply is ignored. The start has dropped all unfinished jobs, which are read when they are needed. Before: the row "poll of the jobs' changes over a gap" failed. After: it passes.

--- a/src/controller/leadership/replies.rs
+++ b/src/controller/leadership/replies.rs
@@ -35,8 +35,11 @@
             LeadershipCall::Watch(watch) => self.watch_reply(watch, reply),
             LeadershipCall::PollChanges { origin } => {
                 // A failed poll is not retried: if polls fail, the watch fails too and is called
-                // again.
-                if let KvResponse::WatchEvents { revision, events } = reply {
+                // again. After a new start of the watch, later changes of the same jobs may have
+                // been missed.
+                if let KvResponse::WatchEvents { revision, events } = reply
+                    && !self.leadership.is_outdated(origin)
+                {
                     self.apply_events(Watch::Jobs, events);
                     self.leadership.watches.jobs_polled(revision, origin.sent_at);
                 }
--- a/tests/controller/harness/mod.rs
+++ b/tests/controller/harness/mod.rs
@@ -405,7 +405,10 @@
             Outcome::Refused => self.schedule_reply(reply_at, id, KvResponse::NotExecuted),
             Outcome::Held => self.held_calls.push((id, call, None)),
             Outcome::ReplyHeld => {
-                let reply = self.store.apply(self.now, &call);
+                let reply = match &call {
+                    KvRequest::Watch { prefix, after, .. } => self.changes_since(prefix, *after),
+                    call => self.store.apply(self.now, call),
+                };
                 self.held_calls.push((id, call, Some(reply)));
             }
             Outcome::Late => {
@@ -428,6 +431,12 @@
         }
     }
 
+    /// The reply to a watch that is answered now.
+    fn changes_since(&self, prefix: &str, after: u64) -> KvResponse {
+        let events = self.store.events_after(prefix, after);
+        KvResponse::WatchEvents { revision: self.store.revision, events }
+    }
+
     /// Answers the watches for which there are events or whose deadline has passed.
     fn answer_watches(&mut self) {
         if self.watches_hang {
--- a/tests/controller/safety_guards/outdated_replies.rs
+++ b/tests/controller/safety_guards/outdated_replies.rs
@@ -225,13 +225,33 @@
     dependency_ends(harness);
 }
 
+/// The watch of jobs hangs, so the changes are polled. The poll's reply with a job's acceptance comes
+/// after the watches have started anew, and the job ends in between.
+fn poll_over_a_gap(harness: &mut Harness) {
+    submit_dependent(harness);
+    harness.watches_hang = true;
+    harness.put("j/j-5", record("a"));
+    let is_poll =
+        |call: &KvRequest| matches!(call, KvRequest::Watch { block, .. } if *block == Micros::ZERO);
+    hold_next_reply(harness, is_poll);
+    while !harness.calls.iter().any(is_poll) {
+        harness.run(Micros::millis(10));
+    }
+    harness.put("j/j-5", record("d"));
+    restart_watch_of_jobs(harness);
+    assert_eq!(harness.serve_held_calls(), 1, "a poll is in flight");
+    harness.run(SHORT);
+    assert_eq!(harness.submit(&submission_after("j-6", &["j-5"])).status, 201);
+    dependency_ends(harness);
+}
+
 /// Guards against an accepted job that waits forever for a dependency that has ended. A read of the
 /// dependency's record is older than the revision from which the watch of jobs starts, and its
 /// reply comes afterwards: cached, the old stage would never be corrected.
 #[test]
 fn dependents_are_released_although_a_read_crosses_the_start_of_the_watch() {
     type Trouble = fn(&mut Harness);
-    let table: [(&str, Trouble); 9] = [
+    let table: [(&str, Trouble); 10] = [
         ("status query at the start of the process", query_at_the_start),
         ("cancellation at the start of the process", cancellation_at_the_start),
         ("repeated submission at the start of the process", repeated_submission_at_the_start),
@@ -241,6 +261,7 @@
         ("page of records over a gap", page_over_a_gap),
         ("read-back of a local job over a gap", read_back_over_a_gap),
         ("admission over a gap", admission_over_a_gap),
+        ("poll of the jobs' changes over a gap", poll_over_a_gap),
     ];
     let mut failed = Vec::new();
     for (name, trouble) in table {
