Order observations of shard leases by the store's revision

Callers would see: jobs of a shard that no controller leads, if the other controllers are away; and a leader that steps down and leads again under a new term right after its start, whose shard is not served meanwhile. Lists of the leases and events of their watch come by different calls. A list that the store has read before a lease ended, and that comes after that event, put the ended lease back, and a vacant shard is acquired only if it is known to be vacant; a list from before an acquisition took the new lease away. Change: each shard keeps the revision at which its lease was observed, and an earlier observation has no effect. Before: vacant_shards_are_acquired_although_an_older_list_shows_a_leader and leaders_go_on_although_an_older_list_shows_no_lease failed. After: both pass.

--- a/src/controller/leadership/acquisition.rs
+++ b/src/controller/leadership/acquisition.rs
@@ -132,6 +132,7 @@
         shard_state.last_led_term = term;
         shard_state.leadership = Some(leadership);
         shard_state.lease = Some(StoredShardLease { lease, revision });
+        shard_state.observed_revision = shard_state.observed_revision.max(revision);
         self.recoveries.insert(shard, ShardRecovery::new(term));
     }
 
@@ -230,18 +231,21 @@
         self.changes.machines.extend(self.machines.manage_shard(is_in_shard));
     }
 
-    /// Records the leases of all shards; `items` are all lease keys in the store.
-    pub(crate) fn observe_leases(&mut self, items: &[KeyValue]) {
+    /// Records the leases of all shards; `items` are all lease keys in the store at `revision`.
+    pub(crate) fn observe_leases(&mut self, items: &[KeyValue], revision: u64) {
         for shard in 0..self.leadership.shard_count() {
             let key = shard_lease::lease_key(shard);
-            self.observe_lease(shard, items.iter().find(|item| item.key == key));
+            self.observe_lease(shard, items.iter().find(|item| item.key == key), revision);
         }
     }
 
-    /// Records the lease of a shard, `None` if the shard is vacant, and begins or ends leading the
-    /// shard accordingly.
-    pub(crate) fn observe_lease(&mut self, shard: usize, item: Option<&KeyValue>) {
-        self.leadership.shards[shard].observe_lease(self.context.now, item);
+    /// Records the lease of a shard at a revision of the store, `None` if the shard is vacant, and
+    /// begins or ends leading the shard accordingly. Has no effect if a later revision was observed
+    /// before.
+    pub(crate) fn observe_lease(&mut self, shard: usize, item: Option<&KeyValue>, revision: u64) {
+        if !self.leadership.shards[shard].observe_lease(self.context.now, item, revision) {
+            return;
+        }
         match self.leadership.compare_lease(shard, &self.context) {
             LeaseComparison::Consistent => {}
             LeaseComparison::Lost => self.step_down(shard, "the key-value store says so"),
--- a/src/controller/leadership/replies.rs
+++ b/src/controller/leadership/replies.rs
@@ -26,9 +26,9 @@
             LeadershipCall::ListTerms => self.leadership.terms_reply(&reply, &mut self.context),
             LeadershipCall::ListLeases => {
                 self.leadership.shard_list_in_flight = false;
-                if let KvResponse::Page { items, .. } = &reply {
+                if let KvResponse::Page { items, revision, .. } = &reply {
                     self.leadership.shards_up_to_date = true;
-                    self.observe_leases(items);
+                    self.observe_leases(items, *revision);
                 }
             }
             LeadershipCall::StartWatch(watch) => self.watch_start_reply(watch, &reply),
--- a/src/controller/leadership/shard.rs
+++ b/src/controller/leadership/shard.rs
@@ -42,6 +42,8 @@
 pub struct Shard {
     /// Its lease in the key-value store; `None` if the shard is vacant.
     pub lease: Option<StoredShardLease>,
+    /// Revision of the store at which `lease` was observed; 0 before the first observation.
+    pub observed_revision: u64,
     /// Last observed revision of the term's key; 0 if the key has not been observed.
     pub term_revision: u64,
     /// Highest observed term.
@@ -77,8 +79,14 @@
 }
 
 impl Shard {
-    /// Records the content of the lease's key, `None` if the key does not exist.
-    pub fn observe_lease(&mut self, now: Micros, item: Option<&KeyValue>) {
+    /// Records the content of the lease's key at a revision of the store; `item` is `None` if the
+    /// key does not exist. Returns false, and changes nothing, if a later revision was observed
+    /// before: replies to lists and watches may arrive in any order.
+    pub fn observe_lease(&mut self, now: Micros, item: Option<&KeyValue>, revision: u64) -> bool {
+        if revision < self.observed_revision {
+            return false;
+        }
+        self.observed_revision = revision;
         match item.and_then(StoredShardLease::decode) {
             Some(stored) => {
                 // Both keys change in one transaction and so share its revision.
@@ -94,6 +102,7 @@
                 }
             }
         }
+        true
     }
 
     /// Records the content of the term's key.
--- a/src/controller/leadership/watch_events.rs
+++ b/src/controller/leadership/watch_events.rs
@@ -75,7 +75,7 @@
                     // Events from before this process acquired the shard are ignored.
                     let led = self.leadership.led_shard(shard);
                     if led.is_none_or(|leadership| revision > leadership.revision) {
-                        self.observe_lease(shard, item.as_ref());
+                        self.observe_lease(shard, item.as_ref(), revision);
                     }
                 }
                 Some(Change::Job { id, record, revision }) => {
@@ -112,7 +112,7 @@
         self.leadership.watches.state_mut(watch).started(*revision);
         debug!("the watch of {} starts from revision {revision}", watches::key_prefix(watch));
         match watch {
-            Watch::ShardLeases => self.observe_leases(items),
+            Watch::ShardLeases => self.observe_leases(items, *revision),
             Watch::Jobs => self.job_changes_missed(),
             Watch::Quotas => self.quota.resynchronize(),
         }
--- a/tests/components/leadership.rs
+++ b/tests/components/leadership.rs
@@ -27,7 +27,7 @@
     ];
     for (stored, want) in table {
         let mut shard = Shard::default();
-        shard.observe_lease(Micros::secs(1), stored.as_ref());
+        shard.observe_lease(Micros::secs(1), stored.as_ref(), 40);
         assert_eq!(shard.acquirable_revision("a", 7), want, "{stored:?}");
     }
     // A lease that this incarnation has released stays stored until the release is executed,
@@ -35,13 +35,13 @@
     // under the old term.
     for (last_led_term, want) in [(3, None), (4, Some(40)), (5, Some(40))] {
         let mut shard = Shard { last_led_term, ..Shard::default() };
-        shard.observe_lease(Micros::secs(1), Some(&stored_lease("a", 7, 4, 40)));
+        shard.observe_lease(Micros::secs(1), Some(&stored_lease("a", 7, 4, 40)), 40);
         assert_eq!(shard.acquirable_revision("a", 7), want, "led under term {last_led_term}");
         assert_eq!(shard.acquirable_revision("b", 7), None, "no other member may acquire it");
     }
     let mut shard = Shard::default();
-    shard.observe_lease(Micros::secs(1), Some(&stored_lease("b", 3, 4, 40)));
-    shard.observe_lease(Micros::secs(9), None);
+    shard.observe_lease(Micros::secs(1), Some(&stored_lease("b", 3, 4, 40)), 40);
+    shard.observe_lease(Micros::secs(9), None, 41);
     assert_eq!(shard.vacant_since, Micros::secs(9));
     let ShardAcquisition { transaction: txn, term } = shard.acquire(0, 0, "a", 7, 12);
     assert_eq!(term, fencing_token::TERM_STRIDE, "a term only increases");
--- a/tests/controller/harness/requests.rs
+++ b/tests/controller/harness/requests.rs
@@ -9,8 +9,22 @@
 impl Harness {
     /// Writes a key as another controller, or one that no longer exists, would.
     pub fn put(&mut self, key: &str, value: Value) {
-        let write = Write::Put { key: key.into(), value, lease: None };
-        let txn = Txn { conditions: Vec::new(), writes: vec![write] };
+        self.put_together([(key, value)]);
+    }
+
+    /// Writes keys in one transaction, so that they have the same revision.
+    pub fn put_together<const COUNT: usize>(&mut self, items: [(&str, Value); COUNT]) {
+        let put = |(key, value): (&str, Value)| Write::Put { key: key.into(), value, lease: None };
+        self.write(items.into_iter().map(put).collect());
+    }
+
+    /// Deletes a key, as the store does when the lease that the key is attached to ends.
+    pub fn delete(&mut self, key: &str) {
+        self.write(vec![Write::Delete { key: key.into() }]);
+    }
+
+    fn write(&mut self, writes: Vec<Write>) {
+        let txn = Txn { conditions: Vec::new(), writes };
         self.store.apply(self.now, &KvRequest::Txn(txn));
     }
 
--- a/tests/controller/safety_guards/outdated_replies.rs
+++ b/tests/controller/safety_guards/outdated_replies.rs
@@ -1,7 +1,7 @@
 //! Replies of the key-value store that are older than the revision from which a watch has started:
 //! the changes in between are never delivered.
 
-use super::writes;
+use super::{shard_status, writes};
 use crate::harness::{Harness, Outcome, settings, submission, submission_after};
 use millethold::controller::jobs::job::MAX_SINGLE_READS;
 use millethold::kv_store::KvRequest;
@@ -21,15 +21,18 @@
     json!({"s": 1, "g": stage, "n": 2})
 }
 
-/// Starts one of two controllers. The other one leads shard 1, to which job j-1 belongs.
-fn beside_another_leader() -> Harness {
+/// Creates one of two controllers that has not started yet. The other one leads shard 1, to which
+/// job j-1 belongs.
+fn not_started() -> Harness {
     let lease = json!({"member": "n1", "run": 3, "term": 4, "lease": 99});
-    let stored = [
-        ("seat/1".into(), json!({"term": 4})),
-        ("hold/1".into(), lease),
-        ("j/j-1".into(), record("a")),
-    ];
-    let mut harness = Harness::new(&settings(0, 2, ""), &stored);
+    let mut harness = Harness::new(&settings(0, 2, ""), &[("j/j-1".into(), record("a"))]);
+    harness.put_together([("seat/1", json!({"term": 4})), ("hold/1", lease)]);
+    harness
+}
+
+/// Starts one of two controllers.
+fn beside_another_leader() -> Harness {
+    let mut harness = not_started();
     harness.wait_until_healthy();
     harness
 }
@@ -46,6 +49,10 @@
     harness.put("j/j-1", record("d"));
 }
 
+fn lists_leases(call: &KvRequest) -> bool {
+    matches!(call, KvRequest::List { prefix, .. } if prefix == "hold/")
+}
+
 fn reads_dependency(call: &KvRequest) -> bool {
     matches!(call, KvRequest::Get(key) if key == "j/j-1")
 }
@@ -85,7 +92,7 @@
 /// executes the list after the job has ended.
 fn read_crosses_the_start(harness: &mut Harness, read: impl FnOnce(&mut Harness)) {
     harness.outcome = Box::new(|call| match call {
-        KvRequest::List { prefix, .. } if prefix == "hold/" => Outcome::Held,
+        call if lists_leases(call) => Outcome::Held,
         call if reads_dependency(call) => Outcome::ReplyHeld,
         _ => Outcome::Served,
     });
@@ -320,3 +327,47 @@
     let answer = harness.answer(ticket).expect("an answer");
     assert!(matches!(answer.status_and_stage(), (503, "") | (200, "cancelled")), "{answer:?}");
 }
+
+/// Guards against a shard that nobody leads. A list of the shards' leases still shows a leader whose
+/// lease has ended, and its reply comes after the watch has delivered the end, which is not
+/// delivered again.
+#[test]
+fn vacant_shards_are_acquired_although_an_older_list_shows_a_leader() {
+    let mut harness = not_started();
+    // Each of the three watches starts with such a list, too, and is called first.
+    let mut lists = 0;
+    harness.outcome = Box::new(move |call| {
+        lists += usize::from(lists_leases(call));
+        match lists_leases(call) && lists == 4 {
+            true => Outcome::ReplyHeld,
+            false => Outcome::Served,
+        }
+    });
+    harness.run(SHORT);
+    harness.delete("hold/1");
+    harness.run(SHORT);
+    assert_eq!(harness.serve_held_calls(), 1, "a list of leases is in flight");
+    harness.run(Micros::secs(10));
+    assert!(shard_status(&harness, 1).1, "shard 1 has no leader");
+}
+
+/// Guards against a leader that steps down because of a list from before its acquisition, by which
+/// the shard is still vacant.
+#[test]
+fn leaders_go_on_although_an_older_list_shows_no_lease() {
+    let mut harness = not_started();
+    let mut lists = 0;
+    harness.outcome = Box::new(move |call| {
+        lists += usize::from(lists_leases(call));
+        match lists_leases(call) && lists == 1 {
+            true => Outcome::ReplyHeld,
+            false => Outcome::Served,
+        }
+    });
+    harness.wait_until_healthy();
+    let (term, led) = shard_status(&harness, 0);
+    assert!(led, "the shard is acquired");
+    assert_eq!(harness.serve_held_calls(), 1, "the list that starts the watch is in flight");
+    harness.run(Micros::secs(2));
+    assert_eq!(shard_status(&harness, 0), (term, true));
+}
