Simulation: restarts within a fraction of a second while users query and jobs end

Change: faults for calls that are slow in the first second of a process, for users who query a controller as it starts, for jobs that end while it restarts, and for compactions; quick_restarts draws their times and sizes from the seed. Users stop asking about a job at its final answer there, as real ones do, since a question heals the fault.

--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -7,6 +7,7 @@
 mod delayed_commands;
 mod fault_combinations;
 mod job_dependencies;
+mod quick_restarts;
 mod repeated_commands;
 mod rolling_upgrade;
 mod scenarios;
--- a/tests/cluster/simulation/controllers.rs
+++ b/tests/cluster/simulation/controllers.rs
@@ -43,6 +43,7 @@
         let process = ControllerProcess {
             controller: Controller::new(config, options, seed, WALL_CLOCK_START),
             incarnation,
+            started_at: self.now,
         };
         self.processes[controller] = Some(process);
         self.schedule(self.now, SimEvent::Tick { controller, incarnation });
@@ -53,6 +54,7 @@
                 self.schedule(at, SimEvent::PeerUp { from, to, link });
             }
         }
+        self.query_started_controller(controller);
     }
 
     /// Ends a controller's process and schedules its restart.
@@ -62,6 +64,7 @@
         let wait = self.faults.restart_ms.max(100);
         let back = self.now + Micros::millis(self.rng.random_range(wait / 2..wait * 2));
         self.schedule(back, SimEvent::Start { controller });
+        self.end_jobs_at_crash();
     }
 
     /// Passes an event to a controller, if it is running, and carries out its effects.
@@ -89,7 +92,7 @@
             }
             Effect::KvStore { id, call } => {
                 let lose_answer = self.chance(self.faults.lost_answers);
-                let at = at + self.kv_store_extra_delay();
+                let at = at + self.kv_store_extra_delay() + self.extra_delay_at_start(controller);
                 let sent = self.now;
                 self.schedule(
                     at,
--- a/tests/cluster/simulation/event.rs
+++ b/tests/cluster/simulation/event.rs
@@ -11,6 +11,8 @@
     pub(super) controller: Controller,
     /// Distinguishes this process from other processes of the same controller.
     pub(super) incarnation: u64,
+    /// When it started.
+    pub(super) started_at: Micros,
 }
 
 /// Sender and kind of a request to a controller.
@@ -70,6 +72,8 @@
     WorkerStep { worker: usize },
     /// A heartbeat of a worker got no answer in time.
     HeartbeatTimeout { worker: usize, heartbeat: u64 },
+    /// The running tasks of a job complete.
+    TasksComplete(String),
     /// A user submits a job.
     Submit(String),
     /// A user cancels a job.
@@ -82,6 +86,8 @@
     OutageBegins,
     /// The key-value store is available again.
     OutageEnds,
+    /// The key-value store drops the changes that the open watches wait for.
+    Compaction,
     /// The waiting watches are checked again.
     WakeWatches,
     /// Users cancel running jobs.
--- a/tests/cluster/simulation/fault_builders.rs
+++ b/tests/cluster/simulation/fault_builders.rs
@@ -19,6 +19,27 @@
     vec![UnansweredTxns { from, to, share, at_once }]
 }
 
+/// Draws from the seed: crashes with restarts within a fraction of a second or little more, while many
+/// jobs end; delays of up to a few hundred milliseconds of the calls of a process that has just
+/// started; and in some runs a compaction of the key-value store's changes. Users query all controllers while one starts.
+pub fn quick_restarts(seed: u64) -> Faults {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let crashes = (0..5).map(|n| (14 + 6 * n + rng.random_range(0..4), 1)).collect();
+    let compactions = (0..rng.random_range(0..4) / 3).map(|_| rng.random_range(14..40)).collect();
+    Faults {
+        machines: Some(24),
+        crashes,
+        restart_ms: rng.random_range(300..1_000),
+        jobs_end_at_crash: 0.3,
+        compactions,
+        slow_calls_at_start: Some(rng.random_range(200..500)),
+        query_bursts: rng.random::<bool>().then_some((5, 45)),
+        queries_at_start: true,
+        queries_end_with_job: true,
+        ..Faults::default()
+    }
+}
+
 /// Draws two cancellations of running jobs and two to four other faults from the seed, for
 /// combinations that no table lists.
 pub fn random_faults(seed: u64) -> Faults {
--- a/tests/cluster/simulation/faults.rs
+++ b/tests/cluster/simulation/faults.rs
@@ -97,6 +97,19 @@
     /// Users query all controllers within milliseconds after a job was accepted, done or cancelled,
     /// and cancel some jobs right after acceptance: from, to.
     pub query_bursts: Option<(u64, u64)>,
+    /// Maximum additional delay, there or back, of half of the key-value store calls in the first
+    /// second of a controller's process, in milliseconds.
+    pub slow_calls_at_start: Option<u64>,
+    /// Share of the running jobs whose tasks complete while a controller that has crashed restarts.
+    pub jobs_end_at_crash: f64,
+    /// Whether users stop querying a job once they have its final answer, as real ones do: such
+    /// queries would make a controller read a record again that it has missed.
+    pub queries_end_with_job: bool,
+    /// Whether users query each controller that has just started about the jobs that have not ended.
+    pub queries_at_start: bool,
+    /// Times at which the key-value store no longer keeps the changes that the open watches wait
+    /// for.
+    pub compactions: Vec<u64>,
     /// Maximum additional delay of key-value store calls: from, to, milliseconds.
     pub slow_kv_store: Option<(u64, u64, u64)>,
     /// Maximum additional delay of all messages: from, to, milliseconds.
@@ -141,6 +154,7 @@
         let mut ends: Vec<u64> = Vec::new();
         ends.extend(self.crashes.iter().map(|c| c.0 + self.restart_ms.div_ceil(500)));
         ends.extend(self.outages.iter().map(|c| c.1));
+        ends.extend(&self.compactions);
         ends.extend(self.crash_at_job_end.iter().map(|c| c.1 + self.restart_ms.div_ceil(500)));
         ends.extend(self.terminate_at_job_end.iter().map(|c| c.1));
         let cuts = [
--- a/tests/cluster/simulation/jobs.rs
+++ b/tests/cluster/simulation/jobs.rs
@@ -1,6 +1,9 @@
 //! Planned jobs of a run, and their state as their users see it.
 
+use super::event::SimEvent;
+use super::world::World;
 use millethold::time::Micros;
+use rand::RngExt;
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 
@@ -52,6 +55,32 @@
     }
 }
 
+/// Time within which jobs end after a crash (`Faults::jobs_end_at_crash`), in milliseconds.
+const END_AT_CRASH_MS: u64 = 1_500;
+
+impl World {
+    /// Schedules the ends of a share of the jobs without dependencies, which run since long.
+    pub(super) fn end_jobs_at_crash(&mut self) {
+        if self.faults.jobs_end_at_crash == 0.0 {
+            return;
+        }
+        let runs = |j: &UserJob| j.accepted && j.dependencies.is_empty() && j.completed.is_empty();
+        let jobs = self.jobs.iter().filter(|(_, j)| runs(j)).map(|(id, _)| id.clone());
+        for id in jobs.collect::<Vec<_>>() {
+            if self.chance(self.faults.jobs_end_at_crash) {
+                let at = self.now + Micros::millis(self.rng.random_range(0..END_AT_CRASH_MS));
+                self.schedule(at, SimEvent::TasksComplete(id));
+            }
+        }
+    }
+
+    /// Lets the tasks of a job complete at the next steps of their workers.
+    pub(super) fn complete_tasks(&mut self, id: &str) {
+        let job = self.jobs.get_mut(id).expect("a planned job");
+        job.plan.run_s = 0.0;
+    }
+}
+
 /// A job as its user sees it.
 #[derive(Debug, Clone)]
 pub(super) struct UserJob {
--- a/tests/cluster/simulation/kv_store.rs
+++ b/tests/cluster/simulation/kv_store.rs
@@ -32,7 +32,8 @@
     ) {
         let query_storm = self.faults.query_storm.is_some_and(|s| self.during(s.0, s.1));
         self.storm_kv_calls += u64::from(query_storm);
-        let reply_at = self.now + self.delay() + self.kv_store_extra_delay();
+        let extra = self.kv_store_extra_delay() + self.extra_delay_at_start(controller);
+        let reply_at = self.now + self.delay() + extra;
         let reply = |reply| SimEvent::ToController {
             controller,
             incarnation,
@@ -131,6 +132,17 @@
         self.wake_watches();
     }
 
+    /// Answers all open watches as a store that has dropped the changes that they wait for.
+    pub(super) fn compact_changes(&mut self) {
+        for watch in std::mem::take(&mut self.watches) {
+            let at = self.now + self.delay();
+            let reply = Reply::KvStore(KvResponse::Compacted);
+            let Watch { controller, incarnation, call: id, .. } = watch;
+            let event = Event::Reply { id, reply };
+            self.schedule(at, SimEvent::ToController { controller, incarnation, event });
+        }
+    }
+
     /// Answers the watches that have events or have waited for their full time.
     pub(super) fn wake_watches(&mut self) {
         self.deliver_kept_heartbeats();
--- a/tests/cluster/simulation/network.rs
+++ b/tests/cluster/simulation/network.rs
@@ -4,6 +4,9 @@
 use millethold::time::Micros;
 use rand::RngExt;
 
+/// Time after the start of a controller's process in which its calls may be slow.
+const START_PHASE: Micros = Micros::secs(1);
+
 impl World {
     /// Draws the delay of a message.
     pub(super) fn delay(&mut self) -> Micros {
@@ -18,6 +21,17 @@
         Micros(slow.map_or(0, |s| self.rng.random_range(0..s.2 * 1_000)))
     }
 
+    /// Additional delay of a key-value store call under `Faults::slow_calls_at_start`.
+    pub(super) fn extra_delay_at_start(&mut self, controller: usize) -> Micros {
+        let (Some(max_ms), Some(process)) =
+            (self.faults.slow_calls_at_start, &self.processes[controller])
+        else {
+            return Micros::ZERO;
+        };
+        let is_slow = self.now.since(process.started_at) < START_PHASE && self.rng.random();
+        Micros(if is_slow { self.rng.random_range(0..max_ms * 1_000) } else { 0 })
+    }
+
     /// Whether the key-value store currently refuses a controller, alone or in an outage.
     pub(super) fn kv_store_refuses(&self, controller: usize) -> bool {
         let cut = |(n, f, t): &(usize, u64, u64)| *n == controller && self.during(*f, *t);
--- a/tests/cluster/simulation/users.rs
+++ b/tests/cluster/simulation/users.rs
@@ -21,6 +21,13 @@
 /// Minimum run time of the tasks of a job that users cancel while it runs, in seconds.
 const LONG_RUN_S: f64 = 10.0;
 
+/// Maximum number of jobs about which users query a controller that has just started.
+const MAX_QUERIES_AT_START: usize = 80;
+/// Number of queries about a job to a controller that has just started.
+const QUERIES_AT_START: usize = 2;
+/// Time after a controller's start within which users query it, in milliseconds.
+const MAX_WAIT_AT_START_MS: u64 = 50;
+
 impl World {
     /// Submits a job, every 2 s until it is accepted and every 40 s afterwards.
     pub(super) fn submit(&mut self, id: &str) {
@@ -31,13 +38,20 @@
         }
         let body = self.submission_body(id);
         self.send_request("POST", "/work", body, Origin::Submit(id.to_string()));
+        if self.faults.queries_end_with_job && self.jobs[id].final_answer_at.is_some() {
+            return;
+        }
         let again = if accepted { Micros::secs(40) } else { Micros::secs(2) };
         self.schedule(self.now + again, SimEvent::Submit(id.to_string()));
     }
 
     /// Queries the status of a job, and again until [`POLL_AFTER_END`] after its final answer.
     pub(super) fn poll(&mut self, id: String) {
-        if self.jobs[&id].final_answer_at.is_some_and(|at| self.now >= at + POLL_AFTER_END) {
+        let poll_after_end = match self.faults.queries_end_with_job {
+            true => Micros::ZERO,
+            false => POLL_AFTER_END,
+        };
+        if self.jobs[&id].final_answer_at.is_some_and(|at| self.now >= at + poll_after_end) {
             return;
         }
         self.send_user_request(&id, "GET", "", Origin::Poll(id.clone()));
@@ -118,6 +132,31 @@
         }
     }
 
+    /// Schedules queries about jobs that have not ended and depend on no other, with some repeated
+    /// submissions, to a controller that has just started, and at the same time to the others.
+    pub(super) fn query_started_controller(&mut self, started: usize) {
+        if !self.faults.queries_at_start {
+            return;
+        }
+        let open =
+            |j: &UserJob| j.accepted && j.final_answer_at.is_none() && j.dependencies.is_empty();
+        let jobs = self.jobs.iter().filter(|(_, j)| open(j)).map(|(id, _)| id.clone());
+        for id in jobs.take(MAX_QUERIES_AT_START).collect::<Vec<_>>() {
+            for _ in 0..QUERIES_AT_START {
+                let wait = Micros::millis(self.rng.random_range(0..MAX_WAIT_AT_START_MS));
+                let repeat = self.rng.random_range(0..10) == 0;
+                self.queries_at_start += 1;
+                let query = SimEvent::BurstQuery { id: id.clone(), controller: started, repeat };
+                self.schedule(self.now + wait, query);
+            }
+            for controller in (0..CONTROLLERS).filter(|other| *other != started) {
+                let wait = self.rng.random_range(0..20 * MAX_WAIT_AT_START_MS);
+                let query = SimEvent::BurstQuery { id: id.clone(), controller, repeat: false };
+                self.schedule(self.now + Micros::millis(wait), query);
+            }
+        }
+    }
+
     /// Queries one controller about a job, or repeats the submission there.
     pub(super) fn burst_query(&mut self, id: String, controller: usize, repeat: bool) {
         self.burst_queries += 1;
--- a/tests/cluster/simulation/world.rs
+++ b/tests/cluster/simulation/world.rs
@@ -74,6 +74,8 @@
     pub invalid_request_answers: u64,
     /// Requests that were sent to controllers in bursts (`Faults::query_bursts`).
     pub burst_queries: u64,
+    /// Requests that were sent to controllers that had just started (`Faults::queries_at_start`).
+    pub queries_at_start: u64,
     /// Starts of tasks whose job has dependencies.
     pub dependent_starts: u64,
     /// Transactions that `Faults::unanswered_txns` left without an answer.
@@ -150,6 +152,7 @@
             new_leader_copies: 0,
             invalid_request_answers: 0,
             burst_queries: 0,
+            queries_at_start: 0,
             dependent_starts: 0,
             unanswered_txns: 0,
             stopped_while_placed: Vec::new(),
@@ -184,6 +187,9 @@
             self.schedule(Micros::secs(from), SimEvent::OutageBegins);
             self.schedule(Micros::secs(to), SimEvent::OutageEnds);
         }
+        for s in faults.compactions {
+            self.schedule(Micros::secs(s), SimEvent::Compaction);
+        }
         // Watches of a controller that was refused continue when the store serves it again.
         for (_, _, to) in faults.kv_store_cuts.into_iter().chain(faults.hung_watches) {
             self.schedule(Micros::secs(to), SimEvent::WakeWatches);
@@ -309,6 +315,7 @@
             SimEvent::LateTxn { call } => self.late_transaction(call),
             SimEvent::OutageBegins => self.outage_begins(),
             SimEvent::OutageEnds => self.outage_ends(),
+            SimEvent::Compaction => self.compact_changes(),
             SimEvent::WakeWatches => self.wake_watches(),
             SimEvent::CancelRunning(cancel) => self.cancel_running(cancel),
             SimEvent::InvalidRequest => self.invalid_request(),
@@ -331,6 +338,7 @@
             SimEvent::HeartbeatTimeout { worker, heartbeat } => {
                 self.worker_heartbeat_timeout(worker, heartbeat)
             }
+            SimEvent::TasksComplete(id) => self.complete_tasks(&id),
             SimEvent::Submit(id) => self.submit(&id),
             SimEvent::Poll(id) => self.poll(id),
             SimEvent::Cancel(id) => self.cancel(id),
