--- a/tests/cluster/repeated_commands.rs
+++ b/tests/cluster/repeated_commands.rs
@@ -15,6 +15,18 @@
     plans
 }
 
+/// Every two seconds one controller crashes, and is back within a fraction of a second.
+fn quick_restarts() -> Faults {
+    let crashes = (14..50).step_by(2).map(|s| (s, 1)).collect();
+    Faults { crashes, restart_ms: 200, ..Faults::default() }
+}
+
+/// Machines hang or are cut off, one after the other, and are back within a second.
+fn quick_returns() -> Faults {
+    let cuts = (12..52).map(|s| (s as usize % 16, s, s + 1, s % 3 == 0)).collect();
+    Faults { worker_cuts: cuts, ..Faults::default() }
+}
+
 fn row(name: &'static str, faults: Faults) -> Row {
     let faults = Faults { machines: Some(16), command_copies: 0.5, ..faults };
     let exercised = |w: &World| w.command_copies > 40;
@@ -38,6 +50,23 @@
                 "running jobs cancelled",
                 Faults { cancel_running: cancel_running(24_000, 10), ..Faults::default() },
             ),
+            row("controllers back within a second", quick_restarts()),
+            row("machines back within a second", quick_returns()),
+            row(
+                "machines back in their next session",
+                Faults {
+                    worker_cuts: (0..8).map(|w| (w, 14 + w as u64, 28 + w as u64, true)).collect(),
+                    ..Faults::default()
+                },
+            ),
+            row(
+                "controllers and machines back within a second, running jobs cancelled",
+                Faults {
+                    worker_cuts: quick_returns().worker_cuts,
+                    cancel_running: cancel_running(24_000, 10),
+                    ..quick_restarts()
+                },
+            ),
         ],
         800..804,
     );
--- a/tests/controller/harness/mod.rs
+++ b/tests/controller/harness/mod.rs
@@ -137,6 +137,8 @@
     executed_starts: Vec<(usize, Vec<u8>)>,
     workers: Vec<Worker>,
     heartbeats: BTreeMap<u64, (usize, Micros, u64)>,
+    /// Workers that are cut off, and until when.
+    cut_workers: BTreeMap<usize, Micros>,
     next_worker_step: Micros,
     store: Store,
     cloud: Cloud,
@@ -187,6 +189,7 @@
             executed_starts: Vec::new(),
             workers: Vec::new(),
             heartbeats: BTreeMap::new(),
+            cut_workers: BTreeMap::new(),
             next_worker_step: now,
             store,
             cloud: Cloud::default(),
@@ -285,6 +288,22 @@
         self.workers.iter_mut().filter(|w| w.name == name).for_each(|w| w.is_gone = true);
     }
 
+    /// Cuts all workers off for `span`: they send no heartbeat, and no command reaches them.
+    pub fn cut_workers_off(&mut self, span: Micros) {
+        let until = self.now + span;
+        self.cut_workers = (0..self.workers.len()).map(|worker| (worker, until)).collect();
+    }
+
+    /// Whether a worker is cut off.
+    fn is_cut_off(&self, worker: usize) -> bool {
+        self.cut_workers.get(&worker).is_some_and(|until| self.now < *until)
+    }
+
+    /// Tasks that have not exited on any machine; a task that is on two machines is there twice.
+    pub fn live_tasks(&self) -> Vec<&String> {
+        self.workers.iter().filter(|w| !w.is_gone).flat_map(|w| w.live_tasks()).collect()
+    }
+
     /// Whether the controller lease is valid.
     pub fn holds_lease(&self) -> bool {
         self.controller.status(self.now)["lease_valid"] == json!(true)
@@ -300,6 +319,10 @@
             return;
         }
         w.advance(now, &durations);
+        if self.is_cut_off(worker) {
+            return;
+        }
+        let w = &mut self.workers[worker];
         if let Some((sent, heartbeat, body, _)) = w.heartbeat(now, worker) {
             let ticket = self.requested_at.len() as u64 + 1;
             self.heartbeats.insert(ticket, (worker, sent, heartbeat));
@@ -370,7 +393,9 @@
                     let timeout_at = self.now + COMMAND_TIMEOUT;
                     return self.pending_events.push((timeout_at, Event::Reply { id, reply }));
                 }
-                let reply = match self.workers.get_mut(worker).filter(|w| !w.is_gone) {
+                let is_cut_off = self.is_cut_off(worker);
+                let reachable = |w: &&mut Worker| !w.is_gone && !is_cut_off;
+                let reply = match self.workers.get_mut(worker).filter(reachable) {
                     None => DirectReply::NotSent,
                     Some(w) => {
                         let request = body;
--- a/tests/controller/safety_guards/mod.rs
+++ b/tests/controller/safety_guards/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod autoscaler;
+mod command_copies;
 mod leadership;
 mod outdated_replies;
 mod quota;
