Recognize outdated reads of recoveries as all others; one place for a transaction's conditions

Need: recoveries kept a list of their own of reads that were in flight when the watch of jobs started; the same question is answered by the origin of a call now. The number of conditions for each write stood twice. Change: ReadRecoveredRecord carries its origin, and the list is gone; KvStoreLimits::max_conditions.

--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -6,6 +6,9 @@
 use std::ops::Range;
 use std::path::Path;
 
+/// Conditions that the key-value store accepts in a transaction for each write that it allows.
+const CONDITIONS_PER_WRITE: usize = 4;
+
 /// Maximum number of characters that an error shows of the invalid line.
 const MAX_SHOWN_CHARS: usize = 80;
 /// Minimum number of changes that a transaction must allow: the acquisition of a shard writes
@@ -132,6 +135,13 @@
     pub current_value_kb: f64,
 }
 
+impl KvStoreLimits {
+    /// Maximum number of conditions in a transaction.
+    pub fn max_conditions(&self) -> usize {
+        self.txn_ops * CONDITIONS_PER_WRITE
+    }
+}
+
 /// Upcoming limits of the key-value store. A limit that is absent does not change.
 #[derive(Debug, Clone, Default, Deserialize)]
 pub struct UpcomingKvStoreLimits {
--- a/src/controller/api/dependency_comparison.rs
+++ b/src/controller/api/dependency_comparison.rs
@@ -9,9 +9,6 @@
 use crate::kv_store::{KvRequest, KvResponse};
 use crate::wire::{Condition, Txn};
 
-/// Conditions that the store accepts in a transaction for each write that it allows.
-const CONDITIONS_PER_WRITE: usize = 4;
-
 impl Controller {
     /// Answers with the stage of a job that has pending dependencies, once the store confirms
     /// that none of them is cancelled. The job's own record does not show such a cancellation
@@ -27,11 +24,11 @@
         if !self.cancellations_up_to_date() {
             return self.respond_retry_later(ticket, 503, "cancellations are not heard");
         }
-        let max_conditions =
-            (self.context.settings.kv_store.txn_ops * CONDITIONS_PER_WRITE).max(2) - 1;
+        // One condition is for the job itself.
+        let max_dependencies = self.context.settings.kv_store.max_conditions().max(2) - 1;
         let graph = &self.jobs.dependency_graph;
         let mut unfinished = graph.unfinished_dependencies(id, &self.jobs.stage_cache);
-        unfinished.truncate(max_conditions);
+        unfinished.truncate(max_dependencies);
         unfinished.push(UnfinishedJob { id: id.to_string(), revision: cached.revision });
         let conditions = unfinished
             .iter()
--- a/src/controller/api/status_queries.rs
+++ b/src/controller/api/status_queries.rs
@@ -22,8 +22,6 @@
 
 /// Maximum number of comparisons in flight.
 const MAX_COMPARISONS_IN_FLIGHT: usize = 2;
-/// Conditions that the store accepts in a transaction for each write that it allows.
-const CONDITIONS_PER_WRITE: usize = 4;
 /// Bytes that the conditions of one transaction may take.
 const MAX_COMPARISON_BYTES: usize = 48 * 1024;
 /// Bytes of a condition besides the job's id.
@@ -95,7 +93,7 @@
             && self.comparisons_in_flight < MAX_COMPARISONS_IN_FLIGHT
             && context.request_budget.level(context.now) >= 1.0
         {
-            let max_jobs = (context.settings.kv_store.txn_ops * CONDITIONS_PER_WRITE).max(1);
+            let max_jobs = context.settings.kv_store.max_conditions().max(1);
             let jobs = self.next_comparison(max_jobs);
             let condition = |(id, query): (&String, &StatusQuery)| Condition {
                 key: job::job_key(id),
--- a/src/controller/calls.rs
+++ b/src/controller/calls.rs
@@ -55,7 +55,7 @@
     /// Lists chunks of a shard's jobs, to recover them under a term.
     ReadRecoveryPage { shard: usize, term: u64 },
     /// Reads the record of a job that is recovered under a term.
-    ReadRecoveredRecord { shard: usize, term: u64, job: String },
+    ReadRecoveredRecord { shard: usize, term: u64, job: String, origin: CallOrigin },
 }
 
 /// When a call was sent.
--- a/src/controller/leadership/recovered_jobs.rs
+++ b/src/controller/leadership/recovered_jobs.rs
@@ -1,6 +1,7 @@
 //! End of a recovery: runs the jobs that were read.
 
 use crate::controller::Controller;
+use crate::controller::calls::CallOrigin;
 use crate::controller::jobs::job::JobRecord;
 use crate::controller::jobs::stage_cache::CachedStage;
 use crate::controller::leadership::Leadership;
@@ -56,8 +57,9 @@
     }
 
     fn continue_recovery(&mut self, shard: usize) {
+        let origin = self.call_origin();
         if let Some(recovery) = self.leadership.recoveries.get_mut(&shard)
-            && recovery.request_next(shard, &mut self.context) == RecoveryProgress::AllRead
+            && recovery.request_next(shard, origin, &mut self.context) == RecoveryProgress::AllRead
         {
             self.finish_recovery(shard);
         }
@@ -88,13 +90,19 @@
         shard: usize,
         term: u64,
         job: &str,
+        origin: CallOrigin,
         reply: KvResponse,
     ) {
-        let now = self.context.now;
-        let recovery = self.leadership.recovery_mut(shard, term);
-        if recovery.is_some_and(|recovery| recovery.add_record(job, reply, now)) {
-            self.continue_recovery(shard);
+        let (now, is_outdated) = (self.context.now, self.leadership.is_outdated(origin));
+        let Some(recovery) = self.leadership.recovery_mut(shard, term) else {
+            return;
+        };
+        if is_outdated {
+            recovery.discard_record(job);
+        } else if !recovery.add_record(job, reply, now) {
+            return;
         }
+        self.continue_recovery(shard);
     }
 
     fn finish_recovery(&mut self, shard: usize) {
--- a/src/controller/leadership/recovery.rs
+++ b/src/controller/leadership/recovery.rs
@@ -3,7 +3,7 @@
 //! First the chunks of all stored jobs of the shard are listed, page by page, then the record of
 //! each job is read. Changes after the read of a record arrive through the watch.
 
-use crate::controller::calls::LeadershipCall;
+use crate::controller::calls::{CallOrigin, LeadershipCall};
 use crate::controller::context::Context;
 use crate::controller::jobs::job::{self, JobRecord, StoredChunkValue};
 use crate::kv_store::{KvRequest, KvResponse};
@@ -123,9 +123,6 @@
     unread: BTreeSet<String>,
     /// Jobs whose record is being read.
     in_flight: BTreeSet<String>,
-    /// Jobs whose record was requested before changes may have been missed: the reply is discarded
-    /// and the record is read again.
-    stale: BTreeSet<String>,
     records: BTreeMap<String, ReadRecord>,
 }
 
@@ -142,7 +139,6 @@
             batched: BTreeMap::new(),
             unread: BTreeSet::new(),
             in_flight: BTreeSet::new(),
-            stale: BTreeSet::new(),
             records: BTreeMap::new(),
         }
     }
@@ -152,14 +148,19 @@
         self.term
     }
 
-    /// Reads all records again, since changes of them may have been missed.
+    /// Reads all records again, since changes of them may have been missed. Those that are in flight
+    /// are read again once their outdated replies arrive.
     pub(crate) fn read_records_again(&mut self) {
         self.unread.extend(std::mem::take(&mut self.records).into_keys());
-        self.stale.append(&mut self.in_flight);
     }
 
-    /// Requests the next page, or the next records.
-    pub(crate) fn request_next(&mut self, shard: usize, context: &mut Context) -> RecoveryProgress {
+    /// Requests the next page, or the next records; `origin` is that of a call that is sent now.
+    pub(crate) fn request_next(
+        &mut self,
+        shard: usize,
+        origin: CallOrigin,
+        context: &mut Context,
+    ) -> RecoveryProgress {
         if self.page_in_flight || context.now < self.retry_at {
             return RecoveryProgress::Reading;
         }
@@ -176,9 +177,10 @@
             };
             self.in_flight.insert(job.clone());
             let call = KvRequest::Get(job::job_key(&job));
-            context.call_store(LeadershipCall::ReadRecoveredRecord { shard, term, job }, call);
+            let purpose = LeadershipCall::ReadRecoveredRecord { shard, term, job, origin };
+            context.call_store(purpose, call);
         }
-        if self.unread.is_empty() && self.in_flight.is_empty() && self.stale.is_empty() {
+        if self.unread.is_empty() && self.in_flight.is_empty() {
             RecoveryProgress::AllRead
         } else {
             RecoveryProgress::Reading
@@ -209,15 +211,11 @@
         }
     }
 
-    /// Handles the reply to the read of a job's record. Returns whether to continue reading
+    /// Adds the record of a job from the reply to its read. Returns whether to continue reading
     /// immediately.
     pub(crate) fn add_record(&mut self, job: &str, reply: KvResponse, now: Micros) -> bool {
         self.in_flight.remove(job);
         match reply {
-            _ if self.stale.remove(job) => {
-                self.unread.insert(job.to_string());
-                true
-            }
             KvResponse::Value(item) => {
                 let revision = item.as_ref().map_or(0, |item| item.revision);
                 let record = item.and_then(|item| serde_json::from_value(item.value).ok());
@@ -232,6 +230,12 @@
         }
     }
 
+    /// Discards an outdated reply to the read of a job's record, which is read again.
+    pub(crate) fn discard_record(&mut self, job: &str) {
+        self.in_flight.remove(job);
+        self.unread.insert(job.to_string());
+    }
+
     /// Assembles the recovered jobs after everything has been read. A job without a key for chunk 0
     /// gets its chunk 0 from its batch and is listed with that batch. A job's own key for chunk 0
     /// is newer than its batch.
--- a/src/controller/leadership/replies.rs
+++ b/src/controller/leadership/replies.rs
@@ -51,8 +51,8 @@
             LeadershipCall::ReadRecoveryPage { shard, term } => {
                 self.recovery_page_reply(shard, term, reply);
             }
-            LeadershipCall::ReadRecoveredRecord { shard, term, job } => {
-                self.recovery_record_reply(shard, term, &job, reply);
+            LeadershipCall::ReadRecoveredRecord { shard, term, job, origin } => {
+                self.recovery_record_reply(shard, term, &job, origin, reply);
             }
         }
     }
