--- a/tests/controller/harness/mod.rs
+++ b/tests/controller/harness/mod.rs
@@ -17,6 +17,7 @@
 
 mod delayed;
 mod log_collector;
+mod machines;
 mod requests;
 mod settings;
 
@@ -229,11 +230,6 @@
         self.workers.iter_mut().for_each(|w| w.in_flight = None);
     }
 
-    /// Number of tasks on machines that have not exited.
-    pub fn tasks_on_machines(&self) -> usize {
-        self.workers.iter().filter(|w| !w.is_gone).map(|w| w.live_tasks().count()).sum()
-    }
-
     /// Runs until the controller reports that it is healthy.
     pub fn wait_until_healthy(&mut self) {
         let end = self.now + STARTUP_TIMEOUT;
@@ -276,60 +272,11 @@
         }
     }
 
-    /// Adds a machine with a running worker.
-    pub fn add_machine(&mut self) {
-        let name = self.cloud.add(self.now, "a", false);
-        self.workers.push(Worker::new(name, "a", false, false, self.now));
-    }
-
-    /// Removes a machine with everything on it, as the cloud does.
-    pub fn lose_machine(&mut self, name: &str) {
-        self.cloud.terminate(self.now, name);
-        self.workers.iter_mut().filter(|w| w.name == name).for_each(|w| w.is_gone = true);
-    }
-
-    /// Cuts all workers off for `span`: they send no heartbeat, and no command reaches them.
-    pub fn cut_workers_off(&mut self, span: Micros) {
-        let until = self.now + span;
-        self.cut_workers = (0..self.workers.len()).map(|worker| (worker, until)).collect();
-    }
-
-    /// Whether a worker is cut off.
-    fn is_cut_off(&self, worker: usize) -> bool {
-        self.cut_workers.get(&worker).is_some_and(|until| self.now < *until)
-    }
-
-    /// Tasks that have not exited on any machine; a task that is on two machines is there twice.
-    pub fn live_tasks(&self) -> Vec<&String> {
-        self.workers.iter().filter(|w| !w.is_gone).flat_map(|w| w.live_tasks()).collect()
-    }
-
     /// Whether the controller lease is valid.
     pub fn holds_lease(&self) -> bool {
         self.controller.status(self.now)["lease_valid"] == json!(true)
     }
 
-    /// Advances a worker's tasks and sends its heartbeat if it is due.
-    fn step_worker(&mut self, worker: usize) {
-        let durations =
-            self.task_duration_s.iter().map(|(id, s)| (id.clone(), Some((*s, 0.0)))).collect();
-        let now = self.now;
-        let w = &mut self.workers[worker];
-        if w.is_gone {
-            return;
-        }
-        w.advance(now, &durations);
-        if self.is_cut_off(worker) {
-            return;
-        }
-        let w = &mut self.workers[worker];
-        if let Some((sent, heartbeat, body, _)) = w.heartbeat(now, worker) {
-            let ticket = self.requested_at.len() as u64 + 1;
-            self.heartbeats.insert(ticket, (worker, sent, heartbeat));
-            self.send_request("POST", "/v1/report", &body);
-        }
-    }
-
     /// Lets the controller handle an event, and applies the effects.
     pub fn handle_event(&mut self, event: Event) {
         let mut effects = Vec::new();
