--- a/src/controller/api/cancellation_requests.rs
+++ b/src/controller/api/cancellation_requests.rs
@@ -63,6 +63,7 @@
                 self.write_cancellation(ticket, job, revision, tries_left);
             }
             RecordRead::Found { cached, .. } => self.answer_with_stage(ticket, 200, &job, cached),
+            RecordRead::Outdated => self.read_to_cancel(ticket, &job, tries_left),
             RecordRead::NoSuchJob => {
                 self.context.respond(ticket, 404, None, &Refusal::new("no such job"));
             }
--- a/src/controller/api/dependency_lookup.rs
+++ b/src/controller/api/dependency_lookup.rs
@@ -118,6 +118,9 @@
         reply: &KvResponse,
     ) {
         let read = self.apply_record_reply(id, origin, reply);
+        if read == RecordRead::Outdated {
+            return self.look_up_dependency(number, id.to_string());
+        }
         let known = self.jobs.stage_cache.contains(id);
         let lookups = &mut self.api.dependency_lookups;
         let Some(lookup) = lookups.by_number.get_mut(&number) else {
@@ -127,7 +130,7 @@
         match read {
             RecordRead::Found { .. } => {}
             RecordRead::NoSuchJob => lookup.missing |= !known,
-            RecordRead::Unknown => lookup.failed = true,
+            RecordRead::Unknown | RecordRead::Outdated => lookup.failed = true,
         }
         let Some(lookup) = lookups.take_finished(number) else {
             return;
--- a/src/controller/api/record_reads.rs
+++ b/src/controller/api/record_reads.rs
@@ -14,6 +14,10 @@
     Unknown,
     /// The store had no record of the job when it answered.
     NoSuchJob,
+    /// The watch of jobs has started since the read was sent, and the state that was read may have
+    /// changed before that: the record must be read again. Nothing of this state is cached, since
+    /// the change is never delivered.
+    Outdated,
     /// The job exists.
     Found {
         /// The cached stage, which may be newer than the read.
@@ -53,6 +57,7 @@
                 self.respond_retry_later(ticket, 503, "the state service is slow");
             }
             RecordRead::Found { cached, .. } => self.answer_with_stage(ticket, 200, id, cached),
+            RecordRead::Outdated => self.read_job_or_answer(ticket, id, if_absent),
             // Accepted since the read.
             RecordRead::NoSuchJob if self.jobs.stage_cache.contains(id) => {
                 self.respond_retry_later(ticket, 503, "undecided");
@@ -68,7 +73,7 @@
         }
     }
 
-    /// Applies a read of `j/REF`: caches the job's stage and dependencies, stops the job if it is
+    /// Applies a read of `j/REF` unless it is outdated: caches the job's stage and dependencies, stops the job if it is
     /// cancelled, and recovers an accepted job that this process should run.
     pub(crate) fn apply_record_reply(
         &mut self,
@@ -76,8 +81,10 @@
         origin: CallOrigin,
         reply: &KvResponse,
     ) -> RecordRead {
+        let is_outdated = self.leadership.is_outdated(origin);
         let item = match reply {
             KvResponse::Value(Some(item)) => item,
+            KvResponse::Value(None) if is_outdated => return self.outdated_read(job, 0),
             KvResponse::Value(None) => return RecordRead::NoSuchJob,
             _ => return RecordRead::Unknown,
         };
@@ -85,9 +92,8 @@
             return RecordRead::Unknown;
         };
         let revision = item.revision;
-        if record.stage == StoredStage::Accepted && self.leadership.is_outdated(origin) {
-            self.counts.outdated_reads += 1;
-            debug!("read of job {job} at revision {revision} is older than the watch of jobs");
+        if is_outdated && record.stage == StoredStage::Accepted {
+            return self.outdated_read(job, revision);
         }
         let read =
             CachedStage { stage: record.stage, shard: record.shard, tasks: record.tasks, revision };
@@ -105,4 +111,11 @@
         }
         RecordRead::Found { cached, revision }
     }
+
+    /// Counts and logs a read of a job's record at `revision` that must be repeated.
+    fn outdated_read(&mut self, job: &str, revision: u64) -> RecordRead {
+        self.counts.outdated_reads += 1;
+        debug!("read of job {job} at revision {revision} is older than the watch of jobs");
+        RecordRead::Outdated
+    }
 }
--- a/src/controller/api/status_queries.rs
+++ b/src/controller/api/status_queries.rs
@@ -229,6 +229,9 @@
         reply: &KvResponse,
     ) {
         let read = self.apply_record_reply(job, origin, reply);
+        if read == RecordRead::Outdated {
+            return self.read_queried(tickets, job);
+        }
         for ticket in tickets {
             match read {
                 RecordRead::Found { cached, .. }
@@ -248,7 +251,7 @@
                 RecordRead::NoSuchJob => {
                     self.context.respond(ticket, 404, None, &Refusal::new("no such job"));
                 }
-                RecordRead::Unknown => {
+                RecordRead::Unknown | RecordRead::Outdated => {
                     self.respond_retry_later(ticket, 503, "state service away");
                 }
             }
--- a/src/controller/jobs/record_pages.rs
+++ b/src/controller/jobs/record_pages.rs
@@ -115,6 +115,9 @@
             self.jobs.record_pages.not_before = self.context.now + FAILED_PAGE_PAUSE;
             return;
         };
+        if self.leadership.is_outdated(origin) {
+            return self.read_record_page();
+        }
         let last = items.last().filter(|_| more).map(|item| item.key.clone());
         for item in items {
             let id = item.key.strip_prefix(&job::job_key("")).unwrap_or_default().to_string();
--- a/src/controller/machines/cancellation.rs
+++ b/src/controller/machines/cancellation.rs
@@ -8,6 +8,7 @@
 //! cancellations in time.
 
 use crate::config::{Settings, Workers};
+use crate::controller::api::record_reads::RecordRead;
 use crate::controller::calls::{CallOrigin, MachinesCall};
 use crate::controller::jobs::job::{self, StoredStage};
 use crate::controller::leadership::controller_lease::CLOCK_DRIFT_PER_MILLE;
@@ -184,7 +185,9 @@
     /// Handles the reply to the read of an unknown job's record.
     pub(crate) fn unknown_job_reply(&mut self, id: &str, origin: CallOrigin, reply: &KvResponse) {
         self.machines.cancellations.finish_read();
-        self.apply_record_reply(id, origin, reply);
+        if self.apply_record_reply(id, origin, reply) == RecordRead::Outdated {
+            self.machines.add_unknown_jobs(vec![id.to_string()]);
+        }
     }
 
     /// Notifies peers of a cancellation that the key-value store has confirmed to this process
--- a/tests/controller/harness/mod.rs
+++ b/tests/controller/harness/mod.rs
@@ -208,8 +208,14 @@
         harness
     }
 
-    /// Restarts the controller process at once, with empty memory.
+    /// Restarts the controller process at once, with empty memory, and waits until it is healthy.
     pub fn restart(&mut self) {
+        self.start_new_process();
+        self.wait_until_healthy();
+    }
+
+    /// Replaces the controller process by one that has just started.
+    pub fn start_new_process(&mut self) {
         self.incarnation += 1;
         self.controller =
             Controller::new(&self.config, Options::default(), self.incarnation, WALL_CLOCK_START);
@@ -218,7 +224,6 @@
         self.held_calls.clear();
         self.heartbeats.clear();
         self.workers.iter_mut().for_each(|w| w.in_flight = None);
-        self.wait_until_healthy();
     }
 
     /// Number of tasks on machines that have not exited.
--- a/tests/controller/safety_guards/mod.rs
+++ b/tests/controller/safety_guards/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod autoscaler;
 mod leadership;
+mod outdated_replies;
 mod quota;
 mod starts;
 mod status_queries;
--- /dev/null
+++ b/tests/controller/safety_guards/outdated_replies.rs
@@ -0,0 +1,222 @@
+//! Replies of the key-value store that are older than the revision from which a watch has started:
+//! the changes in between are never delivered.
+
+use crate::harness::{Harness, Outcome, settings, submission, submission_after};
+use millethold::controller::jobs::job::MAX_SINGLE_READS;
+use millethold::kv_store::KvRequest;
+use millethold::time::Micros;
+use serde_json::{Value, json};
+
+/// Time in which a call is answered, and a watch that has ended is called again.
+const SHORT: Micros = Micros::millis(100);
+/// Time in which a job whose dependencies have ended is released or cancelled.
+const RELEASE_TIME: Micros = Micros::secs(5);
+/// Number of dependencies that are read by pages and not one by one.
+const MANY: usize = MAX_SINGLE_READS + 1;
+
+/// The record of a job that shard 1 has accepted, at this stage: `a`, `c` or `d`.
+fn record(stage: &str) -> Value {
+    json!({"s": 1, "g": stage, "n": 2})
+}
+
+/// Starts one of two controllers. The other one leads shard 1, to which job j-1 belongs.
+fn beside_another_leader() -> Harness {
+    let lease = json!({"member": "n1", "run": 3, "term": 4, "lease": 99});
+    let stored = [
+        ("seat/1".into(), json!({"term": 4})),
+        ("hold/1".into(), lease),
+        ("j/j-1".into(), record("a")),
+    ];
+    let mut harness = Harness::new(&settings(0, 2, ""), &stored);
+    harness.wait_until_healthy();
+    harness
+}
+
+/// Submits job j-2, which depends on j-1.
+fn submit_dependent(harness: &mut Harness) {
+    let answer = harness.submit(&submission_after("j-2", &["j-1"]));
+    assert_eq!(answer.status, 201, "{answer:?}");
+    harness.run(SHORT);
+}
+
+/// The other controller stores that j-1 is done.
+fn dependency_ends(harness: &mut Harness) {
+    harness.put("j/j-1", record("d"));
+}
+
+fn reads_dependency(call: &KvRequest) -> bool {
+    matches!(call, KvRequest::Get(key) if key == "j/j-1")
+}
+
+/// Holds back the reply to the next call for which `is_held` is true.
+fn hold_next_reply(harness: &mut Harness, is_held: fn(&KvRequest) -> bool) {
+    let mut pending = true;
+    harness.outcome = Box::new(move |call| match pending && is_held(call) {
+        true => {
+            pending = false;
+            Outcome::ReplyHeld
+        }
+        false => Outcome::Served,
+    });
+}
+
+/// The store no longer keeps the changes that the open watches wait for, so they start anew.
+fn restart_watches(harness: &mut Harness) {
+    harness.compact_watched_changes();
+    harness.watches_hang = false;
+    harness.run(SHORT);
+}
+
+/// A new process sends a read before its first list. The store answers the read first, and it
+/// executes the list after the job has ended.
+fn read_crosses_the_start(harness: &mut Harness, read: impl FnOnce(&mut Harness)) {
+    harness.outcome = Box::new(|call| match call {
+        KvRequest::List { prefix, .. } if prefix == "hold/" => Outcome::Held,
+        call if reads_dependency(call) => Outcome::ReplyHeld,
+        _ => Outcome::Served,
+    });
+    harness.start_new_process();
+    harness.run(SHORT);
+    read(harness);
+    harness.run(SHORT);
+    dependency_ends(harness);
+    harness.outcome = Box::new(|_| Outcome::Served);
+    // The replies come in the order of the calls: the lists first.
+    assert!(harness.serve_held_calls() > 1, "a list and a read are in flight");
+    harness.run(SHORT);
+}
+
+fn query_at_the_start(harness: &mut Harness) {
+    submit_dependent(harness);
+    read_crosses_the_start(harness, |harness| {
+        harness.send_request("GET", "/work/j-1", b"");
+    });
+}
+
+fn cancellation_at_the_start(harness: &mut Harness) {
+    submit_dependent(harness);
+    read_crosses_the_start(harness, |harness| {
+        harness.send_request("POST", "/work/j-1/abort", b"");
+    });
+}
+
+fn repeated_submission_at_the_start(harness: &mut Harness) {
+    submit_dependent(harness);
+    read_crosses_the_start(harness, |harness| {
+        let mut infeasible = submission("j-1");
+        infeasible["crew"] = json!("nobody");
+        harness.send_request("POST", "/work", infeasible.to_string().as_bytes());
+    });
+}
+
+/// The read is sent before the watches start anew and answered afterwards; the job ends in between.
+fn read_crosses_a_gap(harness: &mut Harness, read: impl FnOnce(&mut Harness)) {
+    harness.watches_hang = true;
+    hold_next_reply(harness, reads_dependency);
+    read(harness);
+    harness.run(SHORT);
+    dependency_ends(harness);
+    restart_watches(harness);
+    assert_eq!(harness.serve_held_calls(), 1, "a read is in flight");
+    harness.run(SHORT);
+}
+
+fn query_over_a_gap(harness: &mut Harness) {
+    submit_dependent(harness);
+    read_crosses_a_gap(harness, |harness| {
+        harness.send_request("GET", "/work/j-1", b"");
+    });
+}
+
+fn lookup_over_a_gap(harness: &mut Harness) {
+    read_crosses_a_gap(harness, |harness| {
+        let body = submission_after("j-2", &["j-1"]).to_string();
+        harness.send_request("POST", "/work", body.as_bytes());
+    });
+}
+
+/// The watches have started anew, so the stage of a dependency is unknown and read again.
+fn unknown_job_over_a_gap(harness: &mut Harness) {
+    submit_dependent(harness);
+    read_crosses_a_gap(harness, |harness| {
+        restart_watches(harness);
+        harness.run(Micros::millis(1_500));
+        harness.watches_hang = true;
+    });
+}
+
+/// As before, with so many dependencies that their records are read by pages.
+fn page_over_a_gap(harness: &mut Harness) {
+    let many: Vec<String> = (100..100 + MANY).map(|n| format!("j-{n}")).collect();
+    let mut dependencies: Vec<&str> = many.iter().map(String::as_str).collect();
+    dependencies.push("j-1");
+    for id in &many {
+        harness.put(&format!("j/{id}"), record("a"));
+    }
+    harness.run(SHORT);
+    assert_eq!(harness.submit(&submission_after("j-2", &dependencies)).status, 201);
+    harness.run(SHORT);
+    harness.watches_hang = true;
+    restart_watches(harness);
+    hold_next_reply(
+        harness,
+        |call| matches!(call, KvRequest::List { prefix, .. } if prefix == "j/"),
+    );
+    harness.run(Micros::millis(1_500));
+    harness.watches_hang = true;
+    dependency_ends(harness);
+    for id in &many {
+        harness.put(&format!("j/{id}"), record("d"));
+    }
+    restart_watches(harness);
+    assert_eq!(harness.serve_held_calls(), 1, "a page is in flight");
+    harness.run(SHORT);
+}
+
+/// Guards against an accepted job that waits forever for a dependency that has ended. A read of the
+/// dependency's record is older than the revision from which the watch of jobs starts, and its
+/// reply comes afterwards: cached, the old stage would never be corrected.
+#[test]
+fn dependents_are_released_although_a_read_crosses_the_start_of_the_watch() {
+    type Trouble = fn(&mut Harness);
+    let table: [(&str, Trouble); 7] = [
+        ("status query at the start of the process", query_at_the_start),
+        ("cancellation at the start of the process", cancellation_at_the_start),
+        ("repeated submission at the start of the process", repeated_submission_at_the_start),
+        ("status query over a gap", query_over_a_gap),
+        ("lookup of a submitted job's dependency over a gap", lookup_over_a_gap),
+        ("read of a job that has become unknown over a gap", unknown_job_over_a_gap),
+        ("page of records over a gap", page_over_a_gap),
+    ];
+    let mut failed = Vec::new();
+    for (name, trouble) in table {
+        let mut harness = beside_another_leader();
+        trouble(&mut harness);
+        harness.outcome = Box::new(|_| Outcome::Served);
+        harness.run(RELEASE_TIME);
+        let status = harness.controller.status(harness.now);
+        assert_eq!(status["jobs"], 1, "{name}: j-2 is accepted");
+        if status["jobs_that_need_others"] != 0 {
+            failed.push(name);
+        }
+    }
+    assert!(failed.is_empty(), "never released after: {failed:#?}");
+}
+
+/// Guards against an answer that is older than what this process has told its peers to have
+/// received. A read crosses the first list; once the list's revision is announced, a peer answers
+/// that the job is done, so the read must not be answered as `queued`.
+#[test]
+fn no_stage_from_before_the_announced_revision_is_answered() {
+    let mut harness = beside_another_leader();
+    let mut ticket = 0;
+    read_crosses_the_start(&mut harness, |harness| {
+        ticket = harness.send_request("GET", "/work/j-1", b"");
+    });
+    let done_at = harness.get("j/j-1").expect("a record").revision;
+    let announced = harness.sent_frames.iter().any(|(_, f)| f.followed_revision >= done_at);
+    assert!(announced, "the peer is not told that this process has followed the job's end");
+    harness.run(Micros::secs(2));
+    let answer = harness.answer(ticket).expect("an answer");
+    assert_eq!(answer.status_and_stage(), (200, "done"));
+}
