--- a/src/controller/api/dependency_comparison.rs
+++ b/src/controller/api/dependency_comparison.rs
@@ -66,6 +66,10 @@
             return self.answer_with_stage(ticket, status, id, cached);
         }
         match reply {
+            // A dependency may have been cancelled before the watch of jobs started anew.
+            KvResponse::Applied(_) if self.leadership.is_outdated(origin) => {
+                self.respond_retry_later(ticket, 503, "undecided");
+            }
             KvResponse::Applied(_) if self.is_fresh(origin.sent_at) => {
                 let answer = self.job_answer(id, cached);
                 self.context.respond(ticket, status, None, &answer);
--- a/tests/controller/safety_guards/outdated_replies.rs
+++ b/tests/controller/safety_guards/outdated_replies.rs
@@ -5,6 +5,7 @@
 use millethold::controller::jobs::job::MAX_SINGLE_READS;
 use millethold::kv_store::KvRequest;
 use millethold::time::Micros;
+use millethold::wire::Txn;
 use serde_json::{Value, json};
 
 /// Time in which a call is answered, and a watch that has ended is called again.
@@ -220,3 +221,28 @@
     let answer = harness.answer(ticket).expect("an answer");
     assert_eq!(answer.status_and_stage(), (200, "done"));
 }
+
+/// Guards against the same with the roles of two jobs: a comparison confirms that no dependency of
+/// a waiting job is cancelled, but one is cancelled before the revision that is announced before the
+/// reply to the comparison comes. A peer may have answered `cancelled` since.
+#[test]
+fn no_comparison_from_before_the_announced_revision_is_answered() {
+    let mut harness = beside_another_leader();
+    submit_dependent(&mut harness);
+    harness.watches_hang = true;
+    hold_next_reply(
+        &mut harness,
+        |call| matches!(call, KvRequest::Txn(Txn { writes, .. }) if writes.is_empty()),
+    );
+    let ticket = harness.send_request("GET", "/work/j-2", b"");
+    harness.run(SHORT);
+    harness.put("j/j-1", record("c"));
+    restart_watches(&mut harness);
+    let cancelled_at = harness.get("j/j-1").expect("a record").revision;
+    let announced = harness.sent_frames.iter().any(|(_, f)| f.followed_revision >= cancelled_at);
+    assert!(announced, "the peer is not told that this process has followed the cancellation");
+    assert_eq!(harness.serve_held_calls(), 1, "a comparison is in flight");
+    harness.run(Micros::secs(2));
+    let answer = harness.answer(ticket).expect("an answer");
+    assert!(matches!(answer.status_and_stage(), (503, "") | (200, "cancelled")), "{answer:?}");
+}
