--- a/src/controller/jobs/mod.rs
+++ b/src/controller/jobs/mod.rs
@@ -10,7 +10,7 @@
 pub(crate) mod dependency_graph;
 pub(crate) mod dependents;
 pub(crate) mod record_pages;
-pub(crate) mod stage_cache;
+pub mod stage_cache;
 pub(crate) mod task_index;
 pub(crate) mod write_plan;
 
--- a/src/controller/jobs/stage_cache.rs
+++ b/src/controller/jobs/stage_cache.rs
@@ -3,10 +3,10 @@
 use crate::controller::Controller;
 use crate::controller::decision_log;
 use crate::controller::jobs::job::StoredStage;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// Maximum number of jobs in the cache. Other stages are read from the store when needed.
-const MAX_CACHED_JOBS: usize = 40_000;
+pub const MAX_CACHED_JOBS: usize = 40_000;
 
 /// A job's stage as read from the key-value store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,21 +38,31 @@
     AlreadyFinal,
 }
 
-/// Stages by job, evicted in the order in which they were first cached.
+/// A job's entry in the cache.
+#[derive(Debug)]
+struct Entry {
+    cached: CachedStage,
+    /// Key of the job in the order of eviction.
+    position: u64,
+}
+
+/// Stages by job, evicted in the order in which they were first cached or became terminal.
 ///
-/// A terminal stage is never replaced.
+/// A terminal stage is never replaced, and outlasts the reads that were in flight when the job
+/// ended: they would bring back the earlier stage.
 #[derive(Debug, Default)]
 pub(crate) struct StageCache {
-    by_job: BTreeMap<String, CachedStage>,
-    /// Jobs in the order in which they were first cached. Unfinished jobs that were dropped
-    /// keep their entry, and get a second one when they are cached again.
-    eviction_order: VecDeque<String>,
+    by_job: BTreeMap<String, Entry>,
+    /// The cached jobs by position.
+    eviction_order: BTreeMap<u64, String>,
+    /// Highest position that was ever given to a job.
+    last_position: u64,
 }
 
 impl StageCache {
     /// Returns the cached stage of a job with its shard, task count and revision.
     pub(crate) fn get(&self, job: &str) -> Option<CachedStage> {
-        self.by_job.get(job).copied()
+        self.by_job.get(job).map(|entry| entry.cached)
     }
 
     /// Whether a job's stage is cached, which means that the job has been accepted.
@@ -62,12 +72,12 @@
 
     /// Returns a job's cached stage.
     pub(crate) fn stage(&self, job: &str) -> Option<StoredStage> {
-        self.by_job.get(job).map(|cached| cached.stage)
+        self.by_job.get(job).map(|entry| entry.cached.stage)
     }
 
     /// Whether a job is cached as done or cancelled.
     pub(crate) fn is_final(&self, job: &str) -> bool {
-        self.by_job.get(job).is_some_and(CachedStage::is_final)
+        self.by_job.get(job).is_some_and(|entry| entry.cached.is_final())
     }
 
     /// Whether a job is cached as accepted, and neither done nor cancelled.
@@ -87,30 +97,43 @@
 
     /// Caches a job's stage unless a terminal one is already cached.
     fn insert(&mut self, job: &str, cached: CachedStage) -> CacheOutcome {
-        match self.by_job.get_mut(job) {
-            Some(old) if old.is_final() => return CacheOutcome::AlreadyFinal,
-            Some(old) => *old = cached,
-            None => {
-                self.by_job.insert(job.to_string(), cached);
-                self.eviction_order.push_back(job.to_string());
+        if let Some(entry) = self.by_job.get_mut(job) {
+            if entry.cached.is_final() {
+                return CacheOutcome::AlreadyFinal;
             }
+            entry.cached = cached;
+            if !cached.is_final() {
+                return CacheOutcome::Cached;
+            }
+            self.eviction_order.remove(&entry.position);
         }
+        self.last_position += 1;
+        let position = self.last_position;
+        self.by_job.insert(job.to_string(), Entry { cached, position });
+        self.eviction_order.insert(position, job.to_string());
         CacheOutcome::Cached
     }
 
-    /// Evicts the job that was cached first if there are more than [`MAX_CACHED_JOBS`].
+    /// Evicts the first job if there are more than [`MAX_CACHED_JOBS`].
     fn evict(&mut self) -> Option<String> {
         if self.eviction_order.len() <= MAX_CACHED_JOBS {
             return None;
         }
-        let job = self.eviction_order.pop_front()?;
+        let (_, job) = self.eviction_order.pop_first()?;
         self.by_job.remove(&job);
         Some(job)
     }
 
     /// Drops all unfinished jobs: changes of their stages may have been missed.
     pub(crate) fn forget_unfinished(&mut self) {
-        self.by_job.retain(|_, cached| cached.is_final());
+        let eviction_order = &mut self.eviction_order;
+        self.by_job.retain(|_, entry| {
+            let is_kept = entry.cached.is_final();
+            if !is_kept {
+                eviction_order.remove(&entry.position);
+            }
+            is_kept
+        });
     }
 }
 
--- a/tests/controller/safety_guards/outdated_replies.rs
+++ b/tests/controller/safety_guards/outdated_replies.rs
@@ -4,6 +4,7 @@
 use super::{shard_status, writes};
 use crate::harness::{Harness, Outcome, settings, submission, submission_after};
 use millethold::controller::jobs::job::MAX_SINGLE_READS;
+use millethold::controller::jobs::stage_cache::MAX_CACHED_JOBS;
 use millethold::kv_store::KvRequest;
 use millethold::time::Micros;
 use millethold::wire::Txn;
@@ -371,3 +372,25 @@
     harness.run(Micros::secs(2));
     assert_eq!(shard_status(&harness, 0), (term, true));
 }
+
+/// Guards against an answer that is older than what this process has received, when it keeps the
+/// stages of as many jobs as it can. The job was cached first and has just ended: were its stage
+/// evicted now, a read that is in flight would bring back the earlier one.
+#[test]
+fn stages_of_jobs_that_have_just_ended_are_not_evicted() {
+    let mut harness = beside_another_leader();
+    submit_dependent(&mut harness);
+    let others = (0..MAX_CACHED_JOBS - 2).map(|n| (format!("j/j-{}", 100 + n), record("a")));
+    harness.put_together(others);
+    harness.run(SHORT);
+    hold_next_reply(&mut harness, reads_dependency);
+    let ticket = harness.send_request("GET", "/work/j-1", b"");
+    dependency_ends(&mut harness);
+    harness.run(SHORT);
+    harness.put("j/j-3", record("a"));
+    harness.run(SHORT);
+    assert_eq!(harness.serve_held_calls(), 1, "a read is in flight");
+    harness.run(Micros::secs(1));
+    let answer = harness.answer(ticket).expect("an answer");
+    assert_eq!(answer.status_and_stage(), (200, "done"));
+}
