--- a/tests/controller/safety_guards/outdated_replies.rs
+++ b/tests/controller/safety_guards/outdated_replies.rs
@@ -304,6 +304,28 @@
     assert_eq!(answer.status_and_stage(), (200, "done"));
 }
 
+/// Guards against a 404 for a job that a peer has accepted. A read crosses the first list; the job was
+/// accepted in between, so the watch does not deliver its acceptance.
+#[test]
+fn no_404_from_before_the_announced_revision_is_answered() {
+    let mut harness = beside_another_leader();
+    harness.outcome = Box::new(|call| match call {
+        call if lists_leases(call) => Outcome::Held,
+        KvRequest::Get(key) if key == "j/j-7" => Outcome::ReplyHeld,
+        _ => Outcome::Served,
+    });
+    harness.start_new_process();
+    harness.run(SHORT);
+    let ticket = harness.send_request("GET", "/work/j-7", b"");
+    harness.run(SHORT);
+    harness.put("j/j-7", record("a"));
+    harness.outcome = Box::new(|_| Outcome::Served);
+    assert!(harness.serve_held_calls() > 1, "a list and a read are in flight");
+    harness.run(Micros::secs(1));
+    let answer = harness.answer(ticket).expect("an answer");
+    assert_eq!(answer.status_and_stage(), (200, "queued"));
+}
+
 /// Guards against the same with the roles of two jobs: a comparison confirms that no dependency of
 /// a waiting job is cancelled, but one is cancelled before the revision that is announced before the
 /// reply to the comparison comes. A peer may have answered `cancelled` since.
