Log and count renewals of workers' leases while cancelled or unknown jobs are listed

A line `renewal` (target millethold::decision, info, ten a second at most) and two counters in /status. No change of behaviour: the line is written after the response is decided.

--- a/src/controller/decision_log.rs
+++ b/src/controller/decision_log.rs
@@ -45,6 +45,11 @@
     pub(crate) machines_scaled_in: u64,
     /// Answers that report their job as cancelled or done.
     pub(crate) final_answers: u64,
+    /// Responses that renewed the lease of a worker which listed tasks of jobs known to be cancelled.
+    pub(crate) renewals_with_cancelled: u64,
+    /// Responses that renewed the lease of a worker which listed tasks of jobs whose stage was not
+    /// known.
+    pub(crate) renewals_with_unknown: u64,
     /// Decisions that were not carried out since they would have broken a rule. Any value other
     /// than 0 is a fault of this program.
     pub(crate) violations: u64,
@@ -78,6 +83,21 @@
     pub(crate) at: Micros,
 }
 
+/// What a response that renews a worker's lease is based on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RenewalEvidence {
+    /// Until when the worker's lease may run, by this process's clock.
+    pub(crate) worker_lease_until: Micros,
+    /// Revision up to which this process has received the changes of jobs.
+    pub(crate) followed_revision: u64,
+    /// Time up to which it has received them.
+    pub(crate) caught_up_at: Micros,
+    /// Number of stops in the response.
+    pub(crate) stops: usize,
+    /// Number of such lines that were not logged since the last one.
+    pub(crate) suppressed_lines: u64,
+}
+
 /// Logs that this process has acquired the lease of a shard; its controller lease is valid until
 /// `lease_until`.
 pub(crate) fn leadership_acquired(evidence: LeadershipEvidence, lease_until: Micros) {
@@ -138,6 +158,27 @@
     );
 }
 
+/// Logs that a response renews the lease of a worker which lists tasks of `cancelled` or `unknown`
+/// jobs.
+pub(crate) fn renewal(
+    evidence: CommandEvidence<'_>,
+    renewal: RenewalEvidence,
+    cancelled: impl Debug,
+    unknown: impl Debug,
+) {
+    log::info!(
+        target: TARGET,
+        machine = evidence.machine, incarnation = evidence.incarnation.0,
+        shard = evidence.shard, term = evidence.term, fencing_token = evidence.fencing_token.0,
+        worker_lease_until_us = renewal.worker_lease_until.0,
+        followed_revision = renewal.followed_revision,
+        caught_up_at_us = renewal.caught_up_at.0, stops = renewal.stops,
+        suppressed_lines = renewal.suppressed_lines,
+        cancelled:? = cancelled, unknown:? = unknown;
+        "renewal"
+    );
+}
+
 /// Logs a command to stop a task.
 pub(crate) fn stop(evidence: CommandEvidence<'_>, attempt: &AttemptId, reason: impl Debug) {
     log::debug!(
--- a/src/controller/machines/heartbeats.rs
+++ b/src/controller/machines/heartbeats.rs
@@ -2,6 +2,7 @@
 
 use crate::controller::machines::Machines;
 use crate::controller::machines::machine::heartbeat::{HeartbeatSource, TaskOutcome};
+use crate::controller::machines::renewal::DoubtfulTasks;
 use crate::controller::machines::start_permit::CommandRoute;
 use crate::controller::machines::timeouts;
 use crate::controller::{Controller, Effect, Ticket};
@@ -73,6 +74,7 @@
             // a lease that this process has declared expired.
             return self.refuse_heartbeat(ticket, "overtaken");
         };
+        let doubtful = DoubtfulTasks::among(&heartbeat, &self.jobs.stage_cache);
         let machine = heartbeat.machine;
         self.record_outcomes(&machine, applied.outcomes);
         self.raise_fencing_token_if_due(&machine);
@@ -87,6 +89,7 @@
             return self.refuse_heartbeat(ticket, "no token is left");
         };
         self.check_before_response(&machine, authority);
+        self.record_renewal(&machine, authority, &doubtful, &commands);
         self.changes.machines.insert(machine);
         let reply = HeartbeatResponse { fencing_token: authority.fencing_token, commands };
         let body = serde_json::to_vec(&reply).unwrap_or_default();
--- a/src/controller/machines/mod.rs
+++ b/src/controller/machines/mod.rs
@@ -24,6 +24,7 @@
 
 mod reconciler;
 mod remaining_capacity;
+mod renewal;
 mod terminations;
 mod timeouts;
 mod view_updates;
@@ -35,6 +36,7 @@
 use machine::ManagedMachine;
 use probes::LastKnownWorker;
 use quarantine::FailingJobs;
+use renewal::RenewalLog;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Desired and observed state of the machines.
@@ -56,6 +58,8 @@
     pending_probes: BTreeSet<String>,
     /// Unknown jobs on managed machines, and cancellations that peers may not have received.
     cancellations: Cancellations,
+    /// Limits the log lines about renewals of workers' leases.
+    renewal_log: RenewalLog,
 }
 
 impl Machines {
@@ -71,6 +75,7 @@
             address_hints: BTreeMap::new(),
             pending_probes: BTreeSet::new(),
             cancellations: Cancellations::default(),
+            renewal_log: RenewalLog::default(),
         }
     }
 
--- a/tests/controller/status_page.rs
+++ b/tests/controller/status_page.rs
@@ -96,7 +96,8 @@
         ),
         (
             &status["counts"]["decisions"],
-            "answered_starts direct_starts final_answers forgets raised_tokens rent_requests \
+            "answered_starts direct_starts final_answers forgets raised_tokens \
+             renewals_with_cancelled renewals_with_unknown rent_requests \
              returned_machines stops tasks_beside_raises tokens_raised_to_forget \
              unanswered_starts violations",
         ),
