Tests: cancelled tasks kept by responses that renew a worker's lease (known red)

A machine's lease was renewed with j-1/0 on it, by every response until the job was read or the machine had reported the new fencing token.

The stand-in of the workers tells its lease and token; the simulation can let machines hang after the first response of a new leader.

--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -5,6 +5,7 @@
 #![allow(clippy::too_many_lines, reason = "each table of cases is one function")]
 
 mod delayed_commands;
+mod failover_series;
 mod fault_combinations;
 mod job_dependencies;
 mod quick_restarts;
--- a/tests/cluster/simulation/fault_builders.rs
+++ b/tests/cluster/simulation/fault_builders.rs
@@ -1,6 +1,6 @@
 //! Builders of faults: those that several tests use, and random combinations drawn from a seed.
 
-use super::{CancelRunning, Faults, UnansweredTxns};
+use super::{CancelRunning, Faults, HangAfterFailover, UnansweredTxns};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -40,6 +40,34 @@
     }
 }
 
+/// Draws from the seed: a series of crashes of one to three controllers, cancellations in between, and
+/// machines that hang after the first response of each new leader until about the next crash. In some runs
+/// machines are cut off as well.
+pub fn failover_series(seed: u64) -> Faults {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let period = rng.random_range(7..10);
+    let count = if rng.random_range(0..4) > 0 { 3 } else { rng.random_range(1..3) };
+    let crashes: Vec<(u64, usize)> = (0..5).map(|n| (14 + period * n, count)).collect();
+    let to = 14 + period * 6;
+    let cancel = |at_ms| CancelRunning { at_ms, count: 5, hang_s: 0 };
+    let cut_workers = 0..rng.random_range(0..16u64) as usize / 2;
+    Faults {
+        machines: Some(24),
+        crashes,
+        restart_ms: rng.random_range(400..1_500),
+        cancel_running: (0..3).map(|_| cancel(rng.random_range(16_000..32_000))).collect(),
+        hang_after_failover: Some(HangAfterFailover {
+            from: 14,
+            to,
+            share: 0.7,
+            least_ms: 1_000 * period - 3_000,
+            most_ms: 1_000 * period + 2_000,
+        }),
+        worker_cuts: cut_workers.map(|w| (w, 20, 20 + rng.random_range(4..11), false)).collect(),
+        ..Faults::default()
+    }
+}
+
 /// Draws two cancellations of running jobs and two to four other faults from the seed, for
 /// combinations that no table lists.
 pub fn random_faults(seed: u64) -> Faults {
--- a/tests/cluster/simulation/faults.rs
+++ b/tests/cluster/simulation/faults.rs
@@ -82,6 +82,8 @@
     pub user_cuts: Vec<(usize, u64, u64)>,
     /// Users cancel a number of running jobs with long tasks, within 200 ms.
     pub cancel_running: Vec<CancelRunning>,
+    /// Machines that hang right after the first response of a new leader.
+    pub hang_after_failover: Option<HangAfterFailover>,
     /// Users cancel a share of the jobs at the moment at which their last task completes: from, to,
     /// share.
     pub cancel_at_job_end: Option<(u64, u64, f64)>,
@@ -137,6 +139,17 @@
     pub hang_s: u64,
 }
 
+/// From `from` to `to`, a `share` of the machines hangs for `least_ms` to `most_ms` right after a response
+/// has renewed the worker's lease and raised its fencing token.
+#[derive(Debug, Clone, Copy)]
+pub struct HangAfterFailover {
+    pub from: u64,
+    pub to: u64,
+    pub share: f64,
+    pub least_ms: u64,
+    pub most_ms: u64,
+}
+
 /// A `share` of the direct commands that are sent from `from` to `to` is held for `least_s` to
 /// `most_s` seconds. The sender gets no answer.
 #[derive(Debug, Clone, Copy)]
@@ -180,6 +193,7 @@
         ends.extend(self.unanswered_txns.iter().map(|l| l.to + 12));
         ends.extend(self.heartbeats_for_new_leader.iter().map(|c| c.1));
         ends.extend(self.cancel_running.iter().map(|c| c.at_ms / 1_000 + 1 + c.hang_s));
+        ends.extend(self.hang_after_failover.iter().map(|h| h.to + h.most_ms.div_ceil(1_000)));
         ends.extend(self.slow_kv_store.iter().chain(&self.slow_links).map(|c| c.1));
         Micros::secs(ends.into_iter().max().unwrap_or(0))
     }
--- a/tests/cluster/simulation/machines.rs
+++ b/tests/cluster/simulation/machines.rs
@@ -231,6 +231,48 @@
         }
     }
 
+    /// Executes the response to a heartbeat, after which the machine may hang.
+    fn heartbeat_response_arrives(
+        &mut self,
+        worker: usize,
+        sent: Micros,
+        heartbeat: u64,
+        status: u16,
+        body: &[u8],
+    ) {
+        let (now, has_cancelled) = (self.now, self.has_cancelled_task(worker));
+        let w = &mut self.workers[worker];
+        let before = (w.lease_start(), w.fencing_token());
+        let started = w.handle_heartbeat_response(now, sent, heartbeat, status, body);
+        let after_failover = w.lease_start() > before.0 && w.fencing_token() > before.1;
+        self.check_executed_commands(worker, started);
+        if after_failover {
+            self.failovers_with_cancelled += u64::from(has_cancelled);
+            self.hang_after_failover(worker);
+        }
+    }
+
+    /// Whether a task of a cancelled job is on a machine.
+    fn has_cancelled_task(&self, worker: usize) -> bool {
+        let is_cancelled = |task: &String| {
+            let id = task.split('/').next().unwrap_or_default();
+            self.jobs.get(id).is_some_and(|job| job.cancelled_at.is_some())
+        };
+        self.workers[worker].live_tasks().any(is_cancelled)
+    }
+
+    /// Makes a machine hang from now on if the faults draw it.
+    fn hang_after_failover(&mut self, worker: usize) {
+        let Some(hang) = self.faults.hang_after_failover.filter(|h| self.during(h.from, h.to))
+        else {
+            return;
+        };
+        if self.chance(hang.share) {
+            let hang_ms = self.rng.random_range(hang.least_ms..hang.most_ms);
+            self.hanging.insert(worker, self.now + Micros::millis(hang_ms));
+        }
+    }
+
     /// Delivers an answer to the worker or user that sent the request.
     pub(super) fn deliver_answer(
         &mut self,
@@ -247,9 +289,7 @@
                 {
                     return;
                 }
-                let started = self.workers[worker]
-                    .handle_heartbeat_response(self.now, sent, heartbeat, status, body);
-                self.check_executed_commands(worker, started);
+                self.heartbeat_response_arrives(worker, sent, heartbeat, status, body);
             }
             Some(origin) => self.user_answer(origin, sent_at, status, body),
             None => {}
--- a/tests/cluster/simulation/mod.rs
+++ b/tests/cluster/simulation/mod.rs
@@ -42,7 +42,7 @@
 mod worker;
 mod world;
 
-pub use faults::{CancelRunning, Faults, HeldCommands, UnansweredTxns};
+pub use faults::{CancelRunning, Faults, HangAfterFailover, HeldCommands, UnansweredTxns};
 pub use jobs::Plan;
 pub use outcome::{check_outcome, run_until_done};
 pub use settings::LEASE_S;
--- a/tests/cluster/simulation/world.rs
+++ b/tests/cluster/simulation/world.rs
@@ -99,6 +99,9 @@
     pub long_held_commands: u64,
     /// Copies of answered direct commands that reached their worker.
     pub command_copies: u64,
+    /// Responses with a higher fencing token that renewed the lease of a machine with a task of a
+    /// cancelled job.
+    pub failovers_with_cancelled: u64,
     /// Transactions that were refused as larger than the lowered limits.
     pub refused_large_txns: u64,
 }
@@ -164,6 +167,7 @@
             task_entries_sent: 0,
             long_held_commands: 0,
             command_copies: 0,
+            failovers_with_cancelled: 0,
             refused_large_txns: 0,
             faults,
             rng: StdRng::seed_from_u64(rng.random()),
--- a/tests/controller/harness/machines.rs
+++ b/tests/controller/harness/machines.rs
@@ -14,6 +14,31 @@
         self.workers.push(Worker::new(name, "a", false, false, self.now));
     }
 
+    /// Adds a machine on which this task runs, as an earlier leader has started it.
+    pub fn add_machine_with_task(&mut self, task: &str) {
+        self.add_machine();
+        let now = self.now;
+        self.workers.last_mut().expect("just added").inject_task(now, task);
+    }
+
+    /// Delivers the response to a heartbeat of a worker.
+    pub(super) fn answer_heartbeat(
+        &mut self,
+        worker: usize,
+        sent: Micros,
+        heartbeat: u64,
+        status: u16,
+        body: &[u8],
+    ) {
+        let w = &mut self.workers[worker];
+        let lease_start = w.lease_start();
+        let started = w.handle_heartbeat_response(self.now, sent, heartbeat, status, body);
+        self.started_tasks.extend(started);
+        if w.lease_start() > lease_start {
+            self.renewals.push(w.live_tasks().cloned().collect());
+        }
+    }
+
     /// Removes a machine with everything on it, as the cloud does.
     pub fn lose_machine(&mut self, name: &str) {
         self.cloud.terminate(self.now, name);
--- a/tests/controller/harness/mod.rs
+++ b/tests/controller/harness/mod.rs
@@ -138,6 +138,8 @@
     executed_starts: Vec<(usize, Vec<u8>)>,
     workers: Vec<Worker>,
     heartbeats: BTreeMap<u64, (usize, Micros, u64)>,
+    /// Tasks on the machine after each response to a heartbeat that renewed the worker's lease.
+    pub renewals: Vec<Vec<String>>,
     /// Workers that are cut off, and until when.
     cut_workers: BTreeMap<usize, Micros>,
     next_worker_step: Micros,
@@ -190,6 +192,7 @@
             executed_starts: Vec::new(),
             workers: Vec::new(),
             heartbeats: BTreeMap::new(),
+            renewals: Vec::new(),
             cut_workers: BTreeMap::new(),
             next_worker_step: now,
             store,
@@ -293,10 +296,7 @@
         match effect {
             Effect::Respond { ticket, status, retry_after, body } => {
                 if let Some((worker, sent, heartbeat)) = self.heartbeats.remove(&ticket.0) {
-                    let w = &mut self.workers[worker];
-                    let started =
-                        w.handle_heartbeat_response(self.now, sent, heartbeat, status, &body);
-                    return self.started_tasks.extend(started);
+                    return self.answer_heartbeat(worker, sent, heartbeat, status, &body);
                 }
                 let body = serde_json::from_slice(&body).expect("JSON");
                 let took = self.now.since(self.requested_at[&ticket.0]);
--- a/tests/controller/safety_guards/mod.rs
+++ b/tests/controller/safety_guards/mod.rs
@@ -5,6 +5,7 @@
 mod autoscaler;
 mod command_copies;
 mod leadership;
+mod lease_renewals;
 mod outdated_replies;
 mod quota;
 mod starts;
--- a/tests/stand_ins/worker.rs
+++ b/tests/stand_ins/worker.rs
@@ -85,6 +85,16 @@
         self.tasks.iter().filter(|(_, t)| t.state != TaskState::Exited).map(|(k, _)| k)
     }
 
+    /// When the last answered heartbeat was sent, or when the incarnation began.
+    pub fn lease_start(&self) -> Micros {
+        self.lease_start
+    }
+
+    /// Highest fencing token that it has received.
+    pub fn fencing_token(&self) -> FencingToken {
+        self.fencing_token
+    }
+
     /// Whether the worker has sent a heartbeat by `now`.
     pub fn has_reported(&self, now: Micros) -> bool {
         self.heartbeats > 0 && now >= self.last_sent
