Stop tasks of cancelled jobs in the first response under a new term

Cause: until a worker has reported the fencing token of a leader's term, its list of tasks proves nothing about tasks that are absent from it, so the leader did not reconcile the machine and answered with no commands at all. But the response renews the worker's lease. If the machine then hangs or is cut off, the task outlives the confirmation by the machine's last renewal plus a whole lease, and with several new leaders in a row by several. That a listed task is there is proven all the same, and by PROTOCOL a worker takes the token of a response together with its commands.

Fix: the commands of each response that renews a lease stop every listed task of a cancelled job, whatever the token; a response that does not is refused, as a violation (a panic in tests, an error line and counts.decisions.violations in service). A stop names the attempt, which is never used again, so it cannot hit another one.

--- a/src/controller/machines/heartbeats.rs
+++ b/src/controller/machines/heartbeats.rs
@@ -3,7 +3,6 @@
 use crate::controller::machines::Machines;
 use crate::controller::machines::machine::heartbeat::{HeartbeatSource, TaskOutcome};
 use crate::controller::machines::renewal::DoubtfulTasks;
-use crate::controller::machines::start_permit::CommandRoute;
 use crate::controller::machines::timeouts;
 use crate::controller::{Controller, Effect, Ticket};
 use crate::time::Micros;
@@ -78,17 +77,16 @@
         let machine = heartbeat.machine;
         self.record_outcomes(&machine, applied.outcomes);
         self.raise_fencing_token_if_due(&machine);
-        let commands = if applied.under_term {
-            self.reconcile_machine(&machine, CommandRoute::HeartbeatResponse)
-        } else {
-            Vec::new()
-        };
+        let commands = self.renewal_commands(&machine, applied.under_term, &doubtful);
         let Some(authority) = self.command_authority(&machine) else {
             // Without responses, the worker's incarnation ends, and with it all starts that
             // may still arrive.
             return self.refuse_heartbeat(ticket, "no token is left");
         };
         self.check_before_response(&machine, authority);
+        if !self.may_renew(&machine, authority, &doubtful, &commands) {
+            return self.refuse_heartbeat(ticket, "a cancelled task would be kept");
+        }
         self.record_renewal(&machine, authority, &doubtful, &commands);
         self.changes.machines.insert(machine);
         let reply = HeartbeatResponse { fencing_token: authority.fencing_token, commands };
--- a/src/controller/machines/reconciler.rs
+++ b/src/controller/machines/reconciler.rs
@@ -99,7 +99,7 @@
 
 /// Why an attempt on the machine is stopped.
 #[derive(Debug, Clone, Copy)]
-enum StopReason {
+pub(crate) enum StopReason {
     /// The task's owner desires that it stops.
     OwnerRequested,
     /// No shard desires the attempt on this machine.
--- a/src/controller/machines/renewal.rs
+++ b/src/controller/machines/renewal.rs
@@ -5,7 +5,8 @@
 use crate::controller::decision_log::{self, RenewalEvidence};
 use crate::controller::jobs::stage_cache::StageCache;
 use crate::controller::machines::attempt::AttemptId;
-use crate::controller::machines::start_permit::CommandAuthority;
+use crate::controller::machines::reconciler::StopReason;
+use crate::controller::machines::start_permit::{CommandAuthority, CommandRoute, CommandViolation};
 use crate::controller::machines::timeouts;
 use crate::time::Micros;
 use crate::wire::{Command, Heartbeat, TaskState};
@@ -43,6 +44,25 @@
     fn is_empty(&self) -> bool {
         self.cancelled.is_empty() && self.unknown_jobs.is_empty()
     }
+
+    /// Attempts of cancelled jobs that none of these commands stops.
+    fn not_stopped_by<'a>(
+        &'a self,
+        commands: &'a [Command],
+    ) -> impl Iterator<Item = &'a AttemptId> {
+        let stops = |command: &Command, attempt: &AttemptId| {
+            matches!(command, Command::Stop { task, attempt: number, .. }
+                if *number == attempt.attempt && *task == attempt.task_name())
+        };
+        self.cancelled
+            .iter()
+            .filter(move |attempt| !commands.iter().any(|command| stops(command, attempt)))
+    }
+}
+
+/// The command to end a task without time to save a checkpoint.
+fn stop_at_once(attempt: &AttemptId) -> Command {
+    Command::Stop { task: attempt.task_name(), attempt: attempt.attempt, grace_s: 0.0 }
 }
 
 /// Limits the log lines about renewals.
@@ -65,6 +85,50 @@
 }
 
 impl Controller {
+    /// Commands of the response that renews the lease of a worker. They stop every listed task of a
+    /// cancelled job, also if the worker has not reported this term's fencing token yet: it receives
+    /// the token together with them.
+    pub(crate) fn renewal_commands(
+        &mut self,
+        machine: &str,
+        under_term: bool,
+        doubtful: &DoubtfulTasks,
+    ) -> Vec<Command> {
+        let mut commands = if under_term {
+            self.reconcile_machine(machine, CommandRoute::HeartbeatResponse)
+        } else {
+            Vec::new()
+        };
+        let Some(authority) = self.command_authority(machine) else {
+            return commands;
+        };
+        let missing: Vec<&AttemptId> = doubtful.not_stopped_by(&commands).collect();
+        let stops: Vec<Command> = missing.iter().map(|attempt| stop_at_once(attempt)).collect();
+        for attempt in missing {
+            self.counts.decisions.stops += 1;
+            decision_log::stop(authority.evidence(machine), attempt, StopReason::Cancelled);
+        }
+        commands.extend(stops);
+        commands
+    }
+
+    /// Whether a response with these commands may renew the lease of a worker that lists these
+    /// tasks. If not, the violation is recorded.
+    pub(crate) fn may_renew(
+        &mut self,
+        machine: &str,
+        authority: CommandAuthority,
+        doubtful: &DoubtfulTasks,
+        commands: &[Command],
+    ) -> bool {
+        if doubtful.not_stopped_by(commands).next().is_none() {
+            return true;
+        }
+        let violation = CommandViolation::CancelledTaskKept;
+        authority.record_violation(&mut self.counts.decisions, machine, violation);
+        false
+    }
+
     /// Counts and logs that a response with these commands renews the lease of a worker that lists
     /// doubtful tasks.
     pub(crate) fn record_renewal(
--- a/src/controller/machines/start_permit.rs
+++ b/src/controller/machines/start_permit.rs
@@ -130,6 +130,10 @@
     /// done or cancelled may still arrive.
     #[error("a heartbeat response to a worker that may still receive a start of an ended job")]
     OpenStartOfEndedJob,
+    /// A heartbeat response would renew the lease of a worker with a task of a cancelled job and not
+    /// stop the task.
+    #[error("a heartbeat response that keeps a task of a cancelled job")]
+    CancelledTaskKept,
 }
 
 /// Permit to start one attempt on one machine, with the evidence on which it was granted.
