Renew no worker's lease while the stage of a listed job is unknown

Cause: a process learns of a cancellation by following j/, from the revision at which it starts to. Of a job that was cancelled before, it learns by reading the record. It read the jobs on its machines one each 100 ms, and answered their heartbeats meanwhile: that it had followed all changes up to now (cancellations_up_to_date) was taken as proof that it knew all cancellations. After a failover with many jobs the first response to a machine could renew its lease with a cancelled task, and the machine then hang.

Fix: a heartbeat that lists a task of a job whose stage is not known is refused with 503 until the record is read. It is applied, so that views and direct commands go on, but does not count as answered. Each response is checked once more before it is sent: a violation otherwise. The refusals of heartbeats are an enum now, with the texts as before.

--- a/src/controller/decision_log.rs
+++ b/src/controller/decision_log.rs
@@ -45,11 +45,11 @@
     pub(crate) machines_scaled_in: u64,
     /// Answers that report their job as cancelled or done.
     pub(crate) final_answers: u64,
-    /// Responses that renewed the lease of a worker which listed tasks of jobs known to be cancelled.
+    /// Responses that renewed the lease of a worker which listed tasks of cancelled jobs. They stop
+    /// these tasks.
     pub(crate) renewals_with_cancelled: u64,
-    /// Responses that renewed the lease of a worker which listed tasks of jobs whose stage was not
-    /// known.
-    pub(crate) renewals_with_unknown: u64,
+    /// Heartbeats refused because the stage of a job with a listed task was not known.
+    pub(crate) renewals_refused_for_unknown: u64,
     /// Decisions that were not carried out since they would have broken a rule. Any value other
     /// than 0 is a fault of this program.
     pub(crate) violations: u64,
@@ -83,17 +83,26 @@
     pub(crate) at: Micros,
 }
 
-/// What a response that renews a worker's lease is based on.
+/// Decision on the renewal of a worker's lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RenewalDecision {
+    /// The lease is renewed by a response with this number of stops.
+    Renewed { stops: usize },
+    /// The heartbeat is refused.
+    Refused,
+}
+
+/// What a decision on the renewal of a worker's lease is based on.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RenewalEvidence {
-    /// Until when the worker's lease may run, by this process's clock.
+    /// The decision.
+    pub(crate) decision: RenewalDecision,
+    /// Until when the worker's lease may run if it is renewed, by this process's clock.
     pub(crate) worker_lease_until: Micros,
     /// Revision up to which this process has received the changes of jobs.
     pub(crate) followed_revision: u64,
     /// Time up to which it has received them.
     pub(crate) caught_up_at: Micros,
-    /// Number of stops in the response.
-    pub(crate) stops: usize,
     /// Number of such lines that were not logged since the last one.
     pub(crate) suppressed_lines: u64,
 }
@@ -158,8 +167,8 @@
     );
 }
 
-/// Logs that a response renews the lease of a worker which lists tasks of `cancelled` or `unknown`
-/// jobs.
+/// Logs a decision on the renewal of the lease of a worker which lists tasks of `cancelled` or
+/// `unknown` jobs.
 pub(crate) fn renewal(
     evidence: CommandEvidence<'_>,
     renewal: RenewalEvidence,
@@ -170,9 +179,9 @@
         target: TARGET,
         machine = evidence.machine, incarnation = evidence.incarnation.0,
         shard = evidence.shard, term = evidence.term, fencing_token = evidence.fencing_token.0,
-        worker_lease_until_us = renewal.worker_lease_until.0,
+        decision:? = renewal.decision, worker_lease_until_us = renewal.worker_lease_until.0,
         followed_revision = renewal.followed_revision,
-        caught_up_at_us = renewal.caught_up_at.0, stops = renewal.stops,
+        caught_up_at_us = renewal.caught_up_at.0,
         suppressed_lines = renewal.suppressed_lines,
         cancelled:? = cancelled, unknown:? = unknown;
         "renewal"
--- a/src/controller/machines/cancellation.rs
+++ b/src/controller/machines/cancellation.rs
@@ -8,29 +8,19 @@
 //! cancellations in time.
 
 use crate::config::{Settings, Workers};
-use crate::controller::api::record_reads::RecordRead;
-use crate::controller::calls::{CallOrigin, MachinesCall};
-use crate::controller::jobs::job::{self, StoredStage};
+use crate::controller::jobs::job::StoredStage;
 use crate::controller::leadership::controller_lease::CLOCK_DRIFT_PER_MILLE;
 use crate::controller::machines::attempt::AttemptId;
 use crate::controller::machines::{Machines, timeouts};
 use crate::controller::{CachedStage, Controller};
-use crate::kv_store::{KvRequest, KvResponse};
 use crate::time::Micros;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Part of `cancel_s` that is reserved for delays not accounted for elsewhere: the transit
 /// time of the last heartbeat response, and clocks that are read at discrete moments.
 const CANCELLATION_MARGIN: Micros = Micros::secs(3);
 /// Shortest controller lease that still outlasts a slow renewal.
 const MIN_CONTROLLER_LEASE: Micros = Micros::secs(2);
-/// Minimum time between two reads of unknown jobs.
-const UNKNOWN_READ_INTERVAL: Micros = Micros::millis(100);
-/// Maximum number of reads of unknown jobs in flight.
-const MAX_UNKNOWN_READS: usize = 2;
-/// Maximum number of unknown jobs queued. Jobs beyond that are found again with the next
-/// heartbeat of their machine.
-const MAX_UNKNOWN_JOBS: usize = 1_000;
 /// Maximum number of cancellations resent to peers in one frame.
 const MAX_RESENT_PER_FRAME: usize = 200;
 
@@ -89,48 +79,14 @@
     until: Micros,
 }
 
-/// Unknown jobs to be read, and cancellations to be resent to peers.
+/// Cancellations to be resent to peers.
 #[derive(Debug, Default)]
 pub(crate) struct Cancellations {
-    /// Jobs with tasks on managed machines whose stage is not cached.
-    unknown_jobs: BTreeSet<String>,
-    reads_in_flight: usize,
-    next_read_at: Micros,
     /// Cancellations confirmed by this process that some peer may not have received, by job.
     unacknowledged: BTreeMap<String, UnacknowledgedCancellation>,
 }
 
 impl Cancellations {
-    /// Queues jobs that have tasks on machines and whose stage is not cached: they may have
-    /// been cancelled before this process began to follow the store's changes.
-    pub(crate) fn add_unknown(&mut self, jobs: Vec<String>) {
-        for id in jobs {
-            if self.unknown_jobs.len() < MAX_UNKNOWN_JOBS {
-                self.unknown_jobs.insert(id);
-            }
-        }
-    }
-
-    /// Takes the next unknown job and counts its read as in flight; `None` if no read may begin
-    /// now. Jobs that have become known, as `is_known` returns, are dropped from the queue.
-    fn begin_read(&mut self, now: Micros, is_known: impl Fn(&String) -> bool) -> Option<String> {
-        if self.reads_in_flight >= MAX_UNKNOWN_READS || now < self.next_read_at {
-            return None;
-        }
-        while let Some(id) = self.unknown_jobs.pop_first() {
-            if !is_known(&id) {
-                self.reads_in_flight += 1;
-                self.next_read_at = now + UNKNOWN_READ_INTERVAL;
-                return Some(id);
-            }
-        }
-        None
-    }
-
-    fn finish_read(&mut self) {
-        self.reads_in_flight = self.reads_in_flight.saturating_sub(1);
-    }
-
     /// Cancellations to be resent to peers, all of which have followed the store's changes at
     /// least up to `followed_by_all`. Drops those that every peer has received, and those that
     /// are too old.
@@ -167,29 +123,6 @@
         self.changes.machines.extend(self.machines.with_tasks_of(id));
     }
 
-    /// Reads the record of the next unknown job from the key-value store. The rate and the
-    /// number of reads in flight are limited.
-    pub(crate) fn read_unknown_jobs(&mut self) {
-        if !self.holds_lease() {
-            return;
-        }
-        let stages = &self.jobs.stage_cache;
-        let is_known = |id: &String| stages.contains(id);
-        if let Some(id) = self.machines.cancellations.begin_read(self.context.now, is_known) {
-            let key = job::job_key(&id);
-            let call = MachinesCall::ReadUnknownJob { job: id, origin: self.call_origin() };
-            self.context.call_store(call, KvRequest::Get(key));
-        }
-    }
-
-    /// Handles the reply to the read of an unknown job's record.
-    pub(crate) fn unknown_job_reply(&mut self, id: &str, origin: CallOrigin, reply: &KvResponse) {
-        self.machines.cancellations.finish_read();
-        if self.apply_record_reply(id, origin, reply) == RecordRead::Outdated {
-            self.machines.add_unknown_jobs(vec![id.to_string()]);
-        }
-    }
-
     /// Notifies peers of a cancellation that the key-value store has confirmed to this process
     /// at `revision`. It is resent until every peer has followed the store up to that revision,
     /// but for no longer than `cancel_s`.
--- a/src/controller/machines/commands.rs
+++ b/src/controller/machines/commands.rs
@@ -54,7 +54,7 @@
             authority.record_violation(counts, machine, violation.into());
         }
         count_commands(counts, &outcome.commands, route);
-        self.machines.cancellations.add_unknown(unknown_jobs);
+        self.machines.add_unknown_jobs(unknown_jobs);
         outcome.commands
     }
 
--- a/src/controller/machines/heartbeats.rs
+++ b/src/controller/machines/heartbeats.rs
@@ -2,7 +2,6 @@
 
 use crate::controller::machines::Machines;
 use crate::controller::machines::machine::heartbeat::{HeartbeatSource, TaskOutcome};
-use crate::controller::machines::renewal::DoubtfulTasks;
 use crate::controller::machines::timeouts;
 use crate::controller::{Controller, Effect, Ticket};
 use crate::time::Micros;
@@ -38,6 +37,35 @@
     under_term: bool,
 }
 
+/// Why a heartbeat gets no response that renews the worker's lease. The texts are sent to the worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+enum HeartbeatRefusal {
+    /// This process does not lead the machine's shard.
+    #[error("seat not held here")]
+    NotLeader { shard: usize },
+    /// Cancellations may have been missed.
+    #[error("cancellations are not heard")]
+    CancellationsUnknown,
+    /// The machine is terminated, or a later leader commands it.
+    #[error("superseded")]
+    Superseded,
+    /// A later heartbeat, or the end of the incarnation, was recorded before this one arrived. The
+    /// worker no longer waits for the response, which would claim to renew a lease that this process
+    /// has declared expired.
+    #[error("overtaken")]
+    Overtaken,
+    /// The stage of a job with a task on the machine is not known: it may be cancelled.
+    #[error("jobs on the machine are being read")]
+    UnknownJobs,
+    /// All fencing tokens of the term are used. Without responses, the worker's incarnation ends, and
+    /// with it all starts that may still arrive.
+    #[error("no token is left")]
+    NoFencingToken,
+    /// The response would keep a task of a cancelled job, which is a bug in this program.
+    #[error("a cancelled task would be kept")]
+    CancelledTaskKept,
+}
+
 impl Controller {
     /// Answers a worker's heartbeat, if this process leads the machine's shard and may renew
     /// the worker's lease.
@@ -51,51 +79,64 @@
             }
         };
         self.counts.heartbeats += 1;
-        let shard = self.shard_of_machine(&heartbeat.machine);
-        let Some(term) = self.leading_term(shard) else {
-            return self.redirect_heartbeat(ticket, shard, &heartbeat.machine);
-        };
+        match self.renew_worker_lease(&heartbeat) {
+            Ok(reply) => {
+                let body = serde_json::to_vec(&reply).unwrap_or_default();
+                self.context.emit(Effect::Respond { ticket, status: 200, retry_after: None, body });
+            }
+            Err(HeartbeatRefusal::NotLeader { shard }) => {
+                self.redirect_heartbeat(ticket, shard, &heartbeat.machine);
+            }
+            Err(refusal) => self.refuse_heartbeat(ticket, refusal),
+        }
+    }
+
+    /// Applies a heartbeat and creates the response that renews the worker's lease.
+    ///
+    /// # Errors
+    /// Why the lease may not be renewed.
+    fn renew_worker_lease(
+        &mut self,
+        heartbeat: &Heartbeat,
+    ) -> Result<HeartbeatResponse, HeartbeatRefusal> {
+        let machine = heartbeat.machine.as_str();
+        let shard = self.shard_of_machine(machine);
+        let term = self.leading_term(shard).ok_or(HeartbeatRefusal::NotLeader { shard })?;
         if !self.cancellations_up_to_date() {
-            // A response would keep tasks alive whose users were notified that they are
-            // cancelled.
-            return self.refuse_heartbeat(ticket, "cancellations are not heard");
+            return Err(HeartbeatRefusal::CancellationsUnknown);
         }
-        if self.machines.is_superseded(&heartbeat, term) {
-            return self.refuse_heartbeat(ticket, "superseded");
+        if self.machines.is_superseded(heartbeat, term) {
+            return Err(HeartbeatRefusal::Superseded);
         }
         let now = self.context.now;
         self.leadership.record_contact(now);
         let worker_lease = timeouts::worker_lease(&self.context.settings.workers);
-        let Some(applied) = self.machines.apply_heartbeat(now, &heartbeat, term, worker_lease)
-        else {
-            // A later heartbeat, or the end of the incarnation, was recorded before this one
-            // arrived. The worker no longer waits for the response, which would claim to renew
-            // a lease that this process has declared expired.
-            return self.refuse_heartbeat(ticket, "overtaken");
-        };
-        let doubtful = DoubtfulTasks::among(&heartbeat, &self.jobs.stage_cache);
-        let machine = heartbeat.machine;
-        self.record_outcomes(&machine, applied.outcomes);
-        self.raise_fencing_token_if_due(&machine);
-        let commands = self.renewal_commands(&machine, applied.under_term, &doubtful);
-        let Some(authority) = self.command_authority(&machine) else {
-            // Without responses, the worker's incarnation ends, and with it all starts that
-            // may still arrive.
-            return self.refuse_heartbeat(ticket, "no token is left");
-        };
-        self.check_before_response(&machine, authority);
-        if !self.may_renew(&machine, authority, &doubtful, &commands) {
-            return self.refuse_heartbeat(ticket, "a cancelled task would be kept");
+        let applied = self
+            .machines
+            .apply_heartbeat(now, heartbeat, term, worker_lease)
+            .ok_or(HeartbeatRefusal::Overtaken)?;
+        self.record_outcomes(machine, applied.outcomes);
+        self.changes.machines.insert(machine.to_string());
+
+        let doubtful = self.doubtful_tasks(heartbeat);
+        if !doubtful.unknown_jobs.is_empty() {
+            self.read_jobs_before_renewal(machine, &doubtful);
+            return Err(HeartbeatRefusal::UnknownJobs);
         }
-        self.record_renewal(&machine, authority, &doubtful, &commands);
-        self.changes.machines.insert(machine);
-        let reply = HeartbeatResponse { fencing_token: authority.fencing_token, commands };
-        let body = serde_json::to_vec(&reply).unwrap_or_default();
-        self.context.emit(Effect::Respond { ticket, status: 200, retry_after: None, body });
+        self.raise_fencing_token_if_due(machine);
+        let commands = self.renewal_commands(machine, applied.under_term, &doubtful);
+        let authority = self.command_authority(machine).ok_or(HeartbeatRefusal::NoFencingToken)?;
+        self.check_before_response(machine, authority);
+        if !self.may_renew(heartbeat, authority, &commands) {
+            return Err(HeartbeatRefusal::CancelledTaskKept);
+        }
+        self.record_renewal(machine, authority, &doubtful, &commands);
+        self.machines.record_answered(machine, now);
+        Ok(HeartbeatResponse { fencing_token: authority.fencing_token, commands })
     }
 
-    fn refuse_heartbeat(&mut self, ticket: Ticket, reason: &str) {
-        self.context.respond(ticket, 503, Some(1), &Refusal::new(reason));
+    fn refuse_heartbeat(&mut self, ticket: Ticket, refusal: HeartbeatRefusal) {
+        self.context.respond(ticket, 503, Some(1), &Refusal::new(&refusal.to_string()));
     }
 
     /// Redirects a worker to the leader of its machine's shard, or refuses the heartbeat if no
@@ -107,7 +148,7 @@
                 let member = self.context.members[leader].clone();
                 self.context.respond(ticket, 421, None, &HeartbeatRedirect { member: &member });
             }
-            _ => self.refuse_heartbeat(ticket, "seat not held here"),
+            _ => self.refuse_heartbeat(ticket, HeartbeatRefusal::NotLeader { shard }),
         }
     }
 }
@@ -123,7 +164,7 @@
             || self.terminated.contains(&heartbeat.machine)
     }
 
-    /// Applies a heartbeat request that is about to be answered; `None` if it is outdated.
+    /// Applies a heartbeat request; `None` if it is outdated.
     fn apply_heartbeat(
         &mut self,
         now: Micros,
@@ -139,9 +180,15 @@
         let incarnation_before = managed.incarnation;
         let outcomes = managed.apply_heartbeat(now, heartbeat, term, HeartbeatSource::Request)?;
         managed.update_responsiveness(now, incarnation_before, worker_lease);
-        managed.answered_at = Some(now);
         Some(AppliedHeartbeat { outcomes, under_term: managed.heartbeat_under_term })
     }
+
+    /// Records that the response to a machine's heartbeat renews the worker's lease.
+    fn record_answered(&mut self, machine: &str, now: Micros) {
+        if let Some(managed) = self.managed.get_mut(machine) {
+            managed.answered_at = Some(now);
+        }
+    }
 }
 
 fn parse_heartbeat(body: &[u8]) -> Result<Heartbeat, HeartbeatError> {
--- a/src/controller/machines/mod.rs
+++ b/src/controller/machines/mod.rs
@@ -27,6 +27,7 @@
 mod renewal;
 mod terminations;
 mod timeouts;
+mod unknown_jobs;
 mod view_updates;
 
 use crate::controller::leadership::shard::shard_of_machine;
@@ -38,6 +39,7 @@
 use quarantine::FailingJobs;
 use renewal::RenewalLog;
 use std::collections::{BTreeMap, BTreeSet};
+use unknown_jobs::UnknownJobs;
 
 /// Desired and observed state of the machines.
 #[derive(Debug)]
@@ -56,8 +58,10 @@
     address_hints: BTreeMap<String, LastKnownWorker>,
     /// Machines waiting to be probed.
     pending_probes: BTreeSet<String>,
-    /// Unknown jobs on managed machines, and cancellations that peers may not have received.
+    /// Cancellations that peers may not have received.
     cancellations: Cancellations,
+    /// Jobs whose stage is not known and whose records are read.
+    unknown_jobs: UnknownJobs,
     /// Limits the log lines about renewals of workers' leases.
     renewal_log: RenewalLog,
 }
@@ -75,6 +79,7 @@
             address_hints: BTreeMap::new(),
             pending_probes: BTreeSet::new(),
             cancellations: Cancellations::default(),
+            unknown_jobs: UnknownJobs::default(),
             renewal_log: RenewalLog::default(),
         }
     }
@@ -115,12 +120,6 @@
         self.terminated.iter().rev().take(count).cloned().collect()
     }
 
-    /// Queues jobs that may run on managed machines and whose stage is unknown, so that their
-    /// records are read from the key-value store.
-    pub(crate) fn add_unknown_jobs(&mut self, jobs: Vec<String>) {
-        self.cancellations.add_unknown(jobs);
-    }
-
     /// Stops managing the machines of a shard that this process no longer leads. `shards` is
     /// the total number of shards.
     pub(crate) fn forget_shard(&mut self, shard: usize, shards: usize) {
--- a/src/controller/machines/renewal.rs
+++ b/src/controller/machines/renewal.rs
@@ -1,13 +1,14 @@
-//! Renewal of a worker's lease by the response to its heartbeat: what this process knows of the jobs
-//! whose tasks the worker lists.
+//! Renewal of a worker's lease by the response to its heartbeat: the response stops every listed task of
+//! a cancelled job, and the stage of each other job with a listed task is known.
 
 use crate::controller::Controller;
-use crate::controller::decision_log::{self, RenewalEvidence};
+use crate::controller::decision_log::{self, RenewalDecision, RenewalEvidence};
 use crate::controller::jobs::stage_cache::StageCache;
 use crate::controller::machines::attempt::AttemptId;
 use crate::controller::machines::reconciler::StopReason;
 use crate::controller::machines::start_permit::{CommandAuthority, CommandRoute, CommandViolation};
 use crate::controller::machines::timeouts;
+use crate::controller::machines::unknown_jobs::UnknownJobs;
 use crate::time::Micros;
 use crate::wire::{Command, Heartbeat, TaskState};
 use std::collections::BTreeSet;
@@ -25,8 +26,8 @@
 }
 
 impl DoubtfulTasks {
-    /// Selects these tasks from a heartbeat by the cached stages of their jobs.
-    pub(crate) fn among(heartbeat: &Heartbeat, stages: &StageCache) -> DoubtfulTasks {
+    /// Selects these tasks from a heartbeat.
+    fn among(heartbeat: &Heartbeat, stages: &StageCache, unknown: &UnknownJobs) -> DoubtfulTasks {
         let mut doubtful = DoubtfulTasks::default();
         for task in heartbeat.tasks.iter().filter(|task| task.state != TaskState::Exited) {
             let Some(attempt) = AttemptId::parse(&task.task, task.attempt) else {
@@ -34,17 +35,13 @@
             };
             if stages.is_cancelled(&attempt.job) {
                 doubtful.cancelled.push(attempt);
-            } else if !stages.contains(&attempt.job) {
+            } else if unknown.is_unknown(&attempt.job, stages) {
                 doubtful.unknown_jobs.insert(attempt.job);
             }
         }
         doubtful
     }
 
-    fn is_empty(&self) -> bool {
-        self.cancelled.is_empty() && self.unknown_jobs.is_empty()
-    }
-
     /// Attempts of cancelled jobs that none of these commands stops.
     fn not_stopped_by<'a>(
         &'a self,
@@ -112,25 +109,45 @@
         commands
     }
 
-    /// Whether a response with these commands may renew the lease of a worker that lists these
-    /// tasks. If not, the violation is recorded.
+    /// Tasks in a heartbeat whose jobs are known to be cancelled or are unknown.
+    pub(crate) fn doubtful_tasks(&self, heartbeat: &Heartbeat) -> DoubtfulTasks {
+        DoubtfulTasks::among(heartbeat, &self.jobs.stage_cache, &self.machines.unknown_jobs)
+    }
+
+    /// Reads the unknown jobs of a worker whose heartbeat is refused until their stages are known, and
+    /// counts and logs the refusal.
+    pub(crate) fn read_jobs_before_renewal(&mut self, machine: &str, doubtful: &DoubtfulTasks) {
+        self.machines.add_unknown_jobs(doubtful.unknown_jobs.iter().cloned().collect());
+        self.read_unknown_jobs();
+        self.counts.decisions.renewals_refused_for_unknown += 1;
+        if let Some(authority) = self.command_authority(machine) {
+            self.log_renewal(machine, authority, RenewalDecision::Refused, doubtful);
+        }
+    }
+
+    /// Whether a response with these commands may renew the lease of the worker that sent the
+    /// heartbeat: they stop every task of a cancelled job, and no job is unknown. If not, the violation
+    /// is recorded.
     pub(crate) fn may_renew(
         &mut self,
-        machine: &str,
+        heartbeat: &Heartbeat,
         authority: CommandAuthority,
-        doubtful: &DoubtfulTasks,
         commands: &[Command],
     ) -> bool {
-        if doubtful.not_stopped_by(commands).next().is_none() {
+        let doubtful = self.doubtful_tasks(heartbeat);
+        let violation = if doubtful.not_stopped_by(commands).next().is_some() {
+            CommandViolation::CancelledTaskKept
+        } else if !doubtful.unknown_jobs.is_empty() {
+            CommandViolation::UnknownJobKept
+        } else {
             return true;
-        }
-        let violation = CommandViolation::CancelledTaskKept;
-        authority.record_violation(&mut self.counts.decisions, machine, violation);
+        };
+        authority.record_violation(&mut self.counts.decisions, &heartbeat.machine, violation);
         false
     }
 
     /// Counts and logs that a response with these commands renews the lease of a worker that lists
-    /// doubtful tasks.
+    /// tasks of cancelled jobs.
     pub(crate) fn record_renewal(
         &mut self,
         machine: &str,
@@ -138,26 +155,34 @@
         doubtful: &DoubtfulTasks,
         commands: &[Command],
     ) {
-        if doubtful.is_empty() {
+        if doubtful.cancelled.is_empty() {
             return;
         }
-        let counts = &mut self.counts.decisions;
-        counts.renewals_with_cancelled += u64::from(!doubtful.cancelled.is_empty());
-        counts.renewals_with_unknown += u64::from(!doubtful.unknown_jobs.is_empty());
+        self.counts.decisions.renewals_with_cancelled += 1;
+        let stops = commands.iter().filter(|c| matches!(c, Command::Stop { .. })).count();
+        self.log_renewal(machine, authority, RenewalDecision::Renewed { stops }, doubtful);
+    }
+
+    fn log_renewal(
+        &mut self,
+        machine: &str,
+        authority: CommandAuthority,
+        decision: RenewalDecision,
+        doubtful: &DoubtfulTasks,
+    ) {
         let now = self.context.now;
         let Some(suppressed_lines) = self.machines.renewal_log.begin_line(now) else {
             return;
         };
         let worker_lease = timeouts::worker_lease(&self.context.settings.workers);
         let cancelled: Vec<String> = doubtful.cancelled.iter().map(AttemptId::task_name).collect();
-        let stops = commands.iter().filter(|c| matches!(c, Command::Stop { .. })).count();
         decision_log::renewal(
             authority.evidence(machine),
             RenewalEvidence {
+                decision,
                 worker_lease_until: now + worker_lease,
                 followed_revision: self.leadership.followed_jobs_revision(),
                 caught_up_at: self.leadership.jobs_caught_up_at(),
-                stops,
                 suppressed_lines,
             },
             cancelled,
--- a/src/controller/machines/start_permit.rs
+++ b/src/controller/machines/start_permit.rs
@@ -134,6 +134,10 @@
     /// stop the task.
     #[error("a heartbeat response that keeps a task of a cancelled job")]
     CancelledTaskKept,
+    /// A heartbeat response would renew the lease of a worker with a task of a job that may be
+    /// cancelled.
+    #[error("a heartbeat response that keeps a task of a job whose stage is unknown")]
+    UnknownJobKept,
 }
 
 /// Permit to start one attempt on one machine, with the evidence on which it was granted.
--- a/tests/controller/status_page.rs
+++ b/tests/controller/status_page.rs
@@ -97,7 +97,7 @@
         (
             &status["counts"]["decisions"],
             "answered_starts direct_starts final_answers forgets raised_tokens \
-             renewals_with_cancelled renewals_with_unknown rent_requests \
+             renewals_refused_for_unknown renewals_with_cancelled rent_requests \
              returned_machines stops tasks_beside_raises tokens_raised_to_forget \
              unanswered_starts violations",
         ),
