Soak: draw series of failovers with machines that hang after each

The test of failed reads queues 400 unknown jobs now: before, it passed without the pause between reads (found by taking the guard out; 803 reads in 4 s then).

--- a/crates/rehearsal/src/faults.rs
+++ b/crates/rehearsal/src/faults.rs
@@ -12,6 +12,8 @@
 const FAULT_GROUP_INTERVAL_MS: (u64, u64) = (4_000, 8_000);
 /// Duration of a fault.
 const FAULT_DURATION_MS: (u64, u64) = (800, 9_000);
+/// Time between two failovers of a series.
+const FAILOVER_PERIOD_MS: (u64, u64) = (5_000, 7_000);
 /// Delay of direct commands. It can exceed [`CANCEL_DEADLINE`](crate::settings::CANCEL_DEADLINE).
 const COMMAND_DELAY_MS: (u64, u64) = (1_000, 40_000);
 /// Delay after which a copy of a heartbeat arrives.
@@ -148,6 +150,16 @@
         /// The affected workers.
         workers: SomeWorkers,
     },
+    /// Hangs a machine right after the response to a heartbeat has raised its worker's fencing token, as
+    /// the first response of a new leader does.
+    HangAfterFailover {
+        /// Percentage of these responses.
+        percent: u32,
+        /// Shortest duration.
+        least: Micros,
+        /// Longest duration.
+        most: Micros,
+    },
     /// Delays some direct commands, while heartbeats arrive as usual.
     #[serde(rename = "held_commands")]
     DelayedCommands {
@@ -215,7 +227,9 @@
             Fault::KillInTurn { pause, back } => {
                 self.at + Micros(pause.0 * controllers as u64) + back
             }
-            Fault::DelayedCommands { most, .. } => self.until + most,
+            Fault::DelayedCommands { most, .. } | Fault::HangAfterFailover { most, .. } => {
+                self.until + most
+            }
             Fault::LateHeartbeats { .. } => self.until + Micros::millis(HEARTBEAT_COPY_DELAY_MS.1),
             Fault::LateWrites { .. } => self.until + Micros::millis(LATE_WRITE_DELAY_MS.1),
             _ => self.until,
@@ -249,6 +263,37 @@
     faults
 }
 
+/// Draws a series of failovers with which faults begin within `duration`: all controllers are killed
+/// several times in a row, machines hang after the first response of each new leader until about the next
+/// failover, and users cancel jobs in between.
+pub fn draw_failover_series(rng: &mut StdRng, duration: Micros) -> Vec<PlannedFault> {
+    let mut faults = Vec::new();
+    let period = Micros::millis(rng.random_range(FAILOVER_PERIOD_MS.0..FAILOVER_PERIOD_MS.1));
+    let mut at = FIRST_FAULT_AT;
+    while at < duration {
+        let back = Micros::millis(rng.random_range(20..600));
+        faults.push(PlannedFault { at, until: at, fault: Fault::KillAll { back } });
+        if rng.random() {
+            let at = at + Micros::millis(rng.random_range(1_500..4_000));
+            let fault = Fault::CancelMany { count: rng.random_range(4..20) };
+            faults.push(PlannedFault { at, until: at, fault });
+        }
+        at += period;
+    }
+    let fault = Fault::HangAfterFailover {
+        percent: rng.random_range(50..90),
+        least: period.since(Micros::secs(1)),
+        most: period + Micros::millis(500),
+    };
+    faults.push(PlannedFault { at: FIRST_FAULT_AT, until: at, fault });
+    let from = FIRST_FAULT_AT + Micros(period.0 * rng.random_range(1..3));
+    let fault = Fault::CutSome { workers: draw_workers(rng), cut: draw_cut(rng) };
+    faults.push(PlannedFault { at: from, until: from + Micros(period.0 / 2), fault });
+    faults.retain(|fault| fault.at < duration);
+    faults.sort_by_key(|fault| fault.at);
+    faults
+}
+
 fn draw_cut(rng: &mut StdRng) -> Cut {
     if rng.random() { Cut::Held } else { Cut::Reset }
 }
--- a/crates/rehearsal/src/run/machines.rs
+++ b/crates/rehearsal/src/run/machines.rs
@@ -215,6 +215,7 @@
             return self.record_all(earlier);
         }
         machine.heartbeat_in_flight = None;
+        let fencing_token = machine.fencing_token();
         let observations = match (status, serde_json::from_slice::<HeartbeatResponse>(body)) {
             (200, Ok(reply)) => machine.heartbeat_answered(
                 now,
@@ -236,9 +237,27 @@
         };
         self.record_all(earlier);
         self.record_all(observations);
+        if self.workers[worker].fencing_token() > fencing_token {
+            self.maybe_hang_after_failover(worker);
+        }
         self.schedule(now, Action::AdvanceWorker { worker });
     }
 
+    /// While a [`Fault::HangAfterFailover`] is active, hangs some machines.
+    fn maybe_hang_after_failover(&mut self, worker: usize) {
+        let active = self.faults.iter().filter(|planned| planned.active(self.now));
+        let hang = active.into_iter().find_map(|planned| match planned.fault {
+            Fault::HangAfterFailover { percent, least, most } => Some((percent, least, most)),
+            _ => None,
+        });
+        if let Some((percent, least, most)) = hang
+            && self.rng.random_range(0..100) < percent
+        {
+            let duration = Micros(self.rng.random_range(least.0..most.0));
+            self.workers[worker].hang(self.now, self.now + duration);
+        }
+    }
+
     fn redirect(&mut self, worker: usize, leader: Option<usize>) {
         let count = self.controllers.len();
         let machine = &mut self.workers[worker];
--- a/crates/rehearsal/src/run/setup.rs
+++ b/crates/rehearsal/src/run/setup.rs
@@ -4,7 +4,7 @@
 use super::{Action, Run, RunError};
 use crate::addresses::Addresses;
 use crate::cloud::Cloud;
-use crate::faults::draw_faults;
+use crate::faults::{draw_failover_series, draw_faults};
 use crate::history::History;
 use crate::jobs::{Jobs, draw_jobs};
 use crate::kv_store::KvStore;
@@ -30,6 +30,8 @@
 const LARGE_RUN_WORKERS: (usize, usize) = (150, 300);
 /// One run in this many has a large number of workers.
 const LARGE_RUN_ONE_IN: u32 = 8;
+/// The seeds that are multiples of this number have a series of failovers instead of groups of faults.
+const FAILOVER_SERIES_ONE_IN: u64 = 5;
 /// The cloud's spare capacity is the number of initial machines divided by this.
 const SPARE_MACHINES_DIVISOR: usize = 4;
 /// Interval between status queries about jobs that no user submitted, from the start of the
@@ -134,6 +136,9 @@
             plan.cancel_at = plan.cancel_at.map(|at| at + start);
         }
         let mut faults = draw_faults(&mut self.rng, duration, controllers);
+        if self.seed.is_multiple_of(FAILOVER_SERIES_ONE_IN) {
+            faults = draw_failover_series(&mut self.rng, duration);
+        }
         for fault in &mut faults {
             fault.at += start;
             fault.until += start;
--- a/crates/rehearsal/src/worker.rs
+++ b/crates/rehearsal/src/worker.rs
@@ -136,6 +136,11 @@
         running.map(|((task, _), _)| task.job.as_str())
     }
 
+    /// Highest fencing token that it has received.
+    pub fn fencing_token(&self) -> FencingToken {
+        self.fencing_token
+    }
+
     /// Hangs the machine until a time. Its tasks are delayed by as much; its lease is not.
     pub fn hang(&mut self, now: Micros, until: Micros) {
         let extension = until.since(now.max(self.hung_until));
--- a/crates/rehearsal/tests/stand_ins.rs
+++ b/crates/rehearsal/tests/stand_ins.rs
@@ -7,7 +7,9 @@
     Command, Condition, DirectCommands, EndCause, FencingToken, TaskState, Txn, WorkerIncarnation,
     Write,
 };
-use millethold_rehearsal::faults::{Cut, Fault, PlannedFault, SomeWorkers, draw_faults};
+use millethold_rehearsal::faults::{
+    Cut, Fault, PlannedFault, SomeWorkers, draw_failover_series, draw_faults,
+};
 use millethold_rehearsal::history::{Observation, TaskEnd};
 use millethold_rehearsal::jobs::{JobPlan, Jobs, draw_jobs};
 use millethold_rehearsal::kv_store::{KvStore, TxnOutcome};
@@ -399,3 +401,24 @@
     }
     assert_eq!(kinds.len(), 24, "{kinds:?}");
 }
+
+/// A series of failovers begins within the duration, cancels jobs between two failovers, and lets
+/// machines hang for less than their lease.
+#[test]
+fn failover_series_of_a_seed() {
+    let duration = Micros::secs(25);
+    let draw = |seed| draw_failover_series(&mut StdRng::seed_from_u64(seed), duration);
+    assert!(draw(5) == draw(5));
+    for faults in (0..200).map(draw) {
+        let kills = faults.iter().filter(|f| matches!(f.fault, Fault::KillAll { .. })).count();
+        assert!(kills >= 4, "{faults:?}");
+        assert!(faults.iter().all(|f| f.at < duration), "{faults:?}");
+        let hangs_within_lease = |f: &PlannedFault| {
+            matches!(f.fault, Fault::HangAfterFailover { least, most, .. }
+                if least < most && most < WORKER_LEASE)
+        };
+        assert!(faults.iter().any(hangs_within_lease), "{faults:?}");
+    }
+    let cancels = |f: &PlannedFault| matches!(f.fault, Fault::CancelMany { .. });
+    assert!((0..200).map(draw).filter(|faults| faults.iter().any(cancels)).count() > 150);
+}
--- a/src/controller/machines/mod.rs
+++ b/src/controller/machines/mod.rs
@@ -13,6 +13,7 @@
 pub mod cancellation;
 pub mod machine;
 pub mod start_permit;
+pub mod unknown_jobs;
 
 pub(crate) mod commands;
 pub(crate) mod desired_state;
@@ -27,7 +28,6 @@
 mod renewal;
 mod terminations;
 mod timeouts;
-mod unknown_jobs;
 mod view_updates;
 
 use crate::controller::leadership::shard::shard_of_machine;
--- a/src/controller/machines/unknown_jobs.rs
+++ b/src/controller/machines/unknown_jobs.rs
@@ -13,14 +13,14 @@
 use std::collections::BTreeSet;
 
 /// Maximum number of reads in flight.
-const MAX_READS: usize = 12;
+pub const MAX_READS: usize = 12;
 /// Maximum number of jobs queued. Jobs beyond that are found again with the next heartbeat of their
 /// machine.
 const MAX_QUEUED_JOBS: usize = 1_000;
 /// Maximum number of jobs kept as without a stage.
 const MAX_JOBS_WITHOUT_STAGE: usize = 1_000;
 /// Pause after a read without an answer, which also ends a series of refused calls.
-const RETRY_DELAY: Micros = Micros::millis(200);
+pub const RETRY_DELAY: Micros = Micros::millis(200);
 
 /// Jobs whose records are to be read.
 #[derive(Debug, Default)]
--- a/tests/controller/harness/machines.rs
+++ b/tests/controller/harness/machines.rs
@@ -14,11 +14,12 @@
         self.workers.push(Worker::new(name, "a", false, false, self.now));
     }
 
-    /// Adds a machine on which this task runs, as an earlier leader has started it.
-    pub fn add_machine_with_task(&mut self, task: &str) {
+    /// Adds a machine on which these tasks run, as an earlier leader has started them.
+    pub fn add_machine_with_tasks(&mut self, tasks: impl IntoIterator<Item = String>) {
         self.add_machine();
         let now = self.now;
-        self.workers.last_mut().expect("just added").inject_task(now, task);
+        let worker = self.workers.last_mut().expect("just added");
+        tasks.into_iter().for_each(|task| worker.inject_task(now, &task));
     }
 
     /// Delivers the response to a heartbeat of a worker.
--- a/tests/controller/safety_guards/lease_renewals.rs
+++ b/tests/controller/safety_guards/lease_renewals.rs
@@ -2,6 +2,9 @@
 
 use crate::harness::{Harness, Outcome, settings};
 use millethold::controller::jobs::stage_cache::MAX_CACHED_JOBS;
+use millethold::controller::machines::unknown_jobs::{
+    MAX_READS as MAX_UNKNOWN_READS, RETRY_DELAY as READ_RETRY_DELAY,
+};
 use millethold::kv_store::KvRequest;
 use millethold::time::Micros;
 use serde_json::{Value, json};
@@ -32,7 +35,7 @@
 }
 
 fn add_machines(harness: &mut Harness) {
-    (0..4).for_each(|index| harness.add_machine_with_task(&format!("j-1/{index}")));
+    (0..4).for_each(|index| harness.add_machine_with_tasks([format!("j-1/{index}")]));
 }
 
 fn hold_reads(harness: &mut Harness) {
@@ -111,18 +114,23 @@
     }
 }
 
-/// A refused read is repeated with a pause, and machines of other jobs are answered meanwhile.
+/// Many jobs are unknown. Machines of other jobs are answered meanwhile.
 #[test]
 fn unknown_jobs_read_without_a_pause_while_the_store_refuses() {
-    let mut harness = beside_the_leader_of_the_job(&[("j/j-1".into(), record("c"))]);
+    let mut harness = beside_the_leader_of_the_job(&[]);
+    let reads_jobs =
+        |call: &KvRequest| matches!(call, KvRequest::Get(key) if key.starts_with("j/"));
     harness.outcome =
-        Box::new(|call| if reads_job(call) { Outcome::Refused } else { Outcome::Served });
-    add_machines(&mut harness);
-    harness.calls.clear();
+        Box::new(move |call| if reads_jobs(call) { Outcome::Refused } else { Outcome::Served });
+    let tasks: Vec<String> = (0..400).map(|job| format!("j-{job}/0")).collect();
+    (0..4).for_each(|_| harness.add_machine_with_tasks(tasks.clone()));
     (0..4).for_each(|_| harness.add_machine());
-    harness.run(HEARTBEATS);
-    let reads = harness.calls.iter().filter(|call| reads_job(call)).count();
-    assert!((2..=25).contains(&reads), "{reads} reads");
+    harness.calls.clear();
+    let steps = 20;
+    harness.run(Micros(steps * READ_RETRY_DELAY.0));
+    let reads = harness.calls.iter().filter(|call| reads_jobs(call)).count();
+    let most = MAX_UNKNOWN_READS * (steps as usize + 1);
+    assert!((steps as usize..=most).contains(&reads), "{reads} reads");
     assert!(!harness.renewals.is_empty(), "machines without tasks are answered");
     assert_eq!(harness.renewals.concat(), Vec::<String>::new(), "kept");
 }
