Read unknown jobs in bulk, and before machines report them

- From 16 unknown jobs on, one page of j/ is read, of 1,000 keys, the most that the store returns; stages beside the asked ones are cached too, unless done.
A page that covers fewer than three of them, and is not the last, shows that they lie far apart: then they are read one by one for 5 s.
- Jobs whose tasks another shard desires on a machine are read when that is received or the shard is acquired, before the machine reports them.
- A record that a recovery has read is cached at once, and nothing is read before the watch of jobs has started: such a reply is outdated.

--- a/crates/rehearsal/src/kv_store_http.rs
+++ b/crates/rehearsal/src/kv_store_http.rs
@@ -40,7 +40,8 @@
     let leases = target.strip_prefix(path::LEASES);
     match request.method.as_str() {
         "GET" if target == path::KV => {
-            Some(KvRequest::List { prefix: text("prefix")?, after: text("after") })
+            let limit = number("limit").map_or(PAGE_SIZE, |limit| limit as usize);
+            Some(KvRequest::List { prefix: text("prefix")?, after: text("after"), limit })
         }
         "GET" if target == path::WATCH => Some(KvRequest::Watch {
             prefix: text("prefix")?,
@@ -77,8 +78,8 @@
             Some(item) => Response::new(200, &item),
             None => Response::new(404, &json!({ "ledger": store.revision() })),
         },
-        KvRequest::List { prefix, after } => {
-            Response::new(200, &store.list(prefix, after.as_deref(), PAGE_SIZE))
+        KvRequest::List { prefix, after, limit } => {
+            Response::new(200, &store.list(prefix, after.as_deref(), *limit))
         }
         KvRequest::Txn(txn) => match store.transact(txn) {
             TxnOutcome::Applied(at) => Response::new(200, &revision(at, Vec::new())),
--- a/src/controller/calls.rs
+++ b/src/controller/calls.rs
@@ -124,6 +124,8 @@
 pub(crate) enum MachinesCall {
     /// Reads the record of a job that runs on a machine and is unknown to this process.
     ReadUnknownJob { job: String, origin: CallOrigin },
+    /// Reads a page of jobs' records that begins at the job `first`, which is unknown to this process.
+    ReadUnknownJobs { first: String, origin: CallOrigin },
     /// Sends direct commands under a term of the machine's shard; `starts` are the starts among
     /// them.
     Direct { machine: String, starts: Vec<AttemptId>, term: u64 },
--- a/src/controller/jobs/read_back.rs
+++ b/src/controller/jobs/read_back.rs
@@ -8,7 +8,7 @@
 use crate::controller::calls::{CallOrigin, JobsCall};
 use crate::controller::context::Context;
 use crate::controller::leadership::Leadership;
-use crate::kv_store::{KvRequest, KvResponse};
+use crate::kv_store::{KvRequest, KvResponse, PAGE_KEYS};
 use crate::time::Micros;
 use log::warn;
 use std::collections::BTreeMap;
@@ -52,7 +52,7 @@
         }
         let call = JobsCall::ReadBackChunks { job: id.to_string(), term, read: chunks };
         let prefix = job::chunk_key_prefix(shard, id);
-        context.call_store(call, KvRequest::List { prefix, after });
+        context.call_store(call, KvRequest::List { prefix, after, limit: PAGE_KEYS });
     }
 
     /// Pauses placements of a job whose read-back failed. It is safe to let the next write go
--- a/src/controller/jobs/record_pages.rs
+++ b/src/controller/jobs/record_pages.rs
@@ -10,7 +10,7 @@
 use crate::controller::Controller;
 use crate::controller::calls::{CallOrigin, JobsCall};
 use crate::controller::context::Context;
-use crate::kv_store::{KvRequest, KvResponse};
+use crate::kv_store::{KvRequest, KvResponse, PAGE_KEYS};
 use crate::time::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -87,7 +87,7 @@
         }
         self.record_pages.page_in_flight = true;
         let after = Some(job::key_before(&first));
-        let call = KvRequest::List { prefix: job::job_key(""), after };
+        let call = KvRequest::List { prefix: job::job_key(""), after, limit: PAGE_KEYS };
         context.call_store(JobsCall::ReadRecordPage { first, origin }, call);
     }
 }
--- a/src/controller/jobs/stage_cache.rs
+++ b/src/controller/jobs/stage_cache.rs
@@ -2,7 +2,8 @@
 
 use crate::controller::Controller;
 use crate::controller::decision_log;
-use crate::controller::jobs::job::StoredStage;
+use crate::controller::jobs::job::{JobRecord, StoredStage};
+use crate::wire::KeyValue;
 use std::collections::BTreeMap;
 
 /// Maximum number of jobs in the cache. Other stages are read from the store when needed.
@@ -23,6 +24,13 @@
 }
 
 impl CachedStage {
+    /// The stage in a job's stored record; `None` if it is unreadable.
+    pub(crate) fn recorded(item: &KeyValue) -> Option<CachedStage> {
+        let record: JobRecord = serde_json::from_value(item.value.clone()).ok()?;
+        let JobRecord { stage, shard, tasks, .. } = record;
+        Some(CachedStage { stage, shard, tasks, revision: item.revision })
+    }
+
     /// Whether the stage is terminal (done or cancelled) and so never changes again.
     pub(crate) fn is_final(&self) -> bool {
         self.stage != StoredStage::Accepted
--- a/src/controller/leadership/acquisition.rs
+++ b/src/controller/leadership/acquisition.rs
@@ -12,7 +12,7 @@
 use crate::controller::leadership::shard::{self, ShardAcquisition, ShardLeadership};
 use crate::controller::leadership::shard_lease::{self, ShardLease, StoredShardLease};
 use crate::controller::peers::Peers;
-use crate::kv_store::{KvRequest, KvResponse};
+use crate::kv_store::{KvRequest, KvResponse, PAGE_KEYS};
 use crate::time::Micros;
 use crate::wire::KeyValue;
 
@@ -36,7 +36,11 @@
         self.shard_list_in_flight = true;
         context.call_store(
             LeadershipCall::ListTerms,
-            KvRequest::List { prefix: shard_lease::TERM_KEY_PREFIX.into(), after: None },
+            KvRequest::List {
+                prefix: shard_lease::TERM_KEY_PREFIX.into(),
+                after: None,
+                limit: PAGE_KEYS,
+            },
         );
     }
 
@@ -56,7 +60,11 @@
         // Leases are listed after terms, so that an acquisition in between shows in the leases.
         context.call_store(
             LeadershipCall::ListLeases,
-            KvRequest::List { prefix: shard_lease::LEASE_KEY_PREFIX.into(), after: None },
+            KvRequest::List {
+                prefix: shard_lease::LEASE_KEY_PREFIX.into(),
+                after: None,
+                limit: PAGE_KEYS,
+            },
         );
     }
 
@@ -228,7 +236,9 @@
         self.leadership.begin_leading(shard, term, revision, &self.context);
         let shards = self.leadership.shard_count();
         let is_in_shard = |machine: &str| shard::shard_of_machine(machine, shards) == shard;
-        self.changes.machines.extend(self.machines.manage_shard(is_in_shard));
+        let machines = self.machines.manage_shard(is_in_shard);
+        self.read_jobs_desired_on(&machines);
+        self.changes.machines.extend(machines);
     }
 
     /// Records the leases of all shards; `items` are all lease keys in the store at `revision`.
--- a/src/controller/leadership/mod.rs
+++ b/src/controller/leadership/mod.rs
@@ -189,6 +189,11 @@
         Some(&stored.lease.member)
     }
 
+    /// Whether the watch of jobs has started, so that no further change of a job is missed.
+    pub(crate) fn follows_jobs(&self) -> bool {
+        self.watches.follows_jobs()
+    }
+
     /// Revision of the store up to which all changes of jobs have been received; 0 while there is
     /// no such revision.
     pub(crate) fn followed_jobs_revision(&self) -> u64 {
--- a/src/controller/leadership/recovered_jobs.rs
+++ b/src/controller/leadership/recovered_jobs.rs
@@ -47,7 +47,7 @@
     /// Continues all recoveries.
     pub(crate) fn continue_recoveries(&mut self) {
         // Changes after the read of a record arrive through the watch, which must have started.
-        if !self.holds_lease() || !self.leadership.watches.follows_jobs() {
+        if !self.holds_lease() || !self.leadership.follows_jobs() {
             return;
         }
         let shards: Vec<usize> = self.leadership.recoveries.keys().copied().collect();
@@ -99,10 +99,20 @@
         };
         if is_outdated {
             recovery.discard_record(job);
-        } else if !recovery.add_record(job, reply, now) {
-            return;
+            return self.continue_recovery(shard);
+        }
+        let stage = match &reply {
+            KvResponse::Value(Some(item)) => CachedStage::recorded(item),
+            _ => None,
+        };
+        let is_read = recovery.add_record(job, reply, now);
+        if let Some(cached) = stage {
+            // Heartbeats of machines with tasks of the job are answered from now on.
+            self.cache_stage(job, cached);
+        }
+        if is_read {
+            self.continue_recovery(shard);
         }
-        self.continue_recovery(shard);
     }
 
     fn finish_recovery(&mut self, shard: usize) {
--- a/src/controller/leadership/recovery.rs
+++ b/src/controller/leadership/recovery.rs
@@ -6,7 +6,7 @@
 use crate::controller::calls::{CallOrigin, LeadershipCall};
 use crate::controller::context::Context;
 use crate::controller::jobs::job::{self, JobRecord, StoredChunkValue};
-use crate::kv_store::{KvRequest, KvResponse};
+use crate::kv_store::{KvRequest, KvResponse, PAGE_KEYS};
 use crate::time::Micros;
 use crate::wire::KeyValue;
 use serde_json::Value;
@@ -167,7 +167,11 @@
         let term = self.term;
         if !self.listed {
             self.page_in_flight = true;
-            let call = KvRequest::List { prefix: format!("w/{shard}/"), after: self.after.clone() };
+            let call = KvRequest::List {
+                prefix: format!("w/{shard}/"),
+                after: self.after.clone(),
+                limit: PAGE_KEYS,
+            };
             context.call_store(LeadershipCall::ReadRecoveryPage { shard, term }, call);
             return RecoveryProgress::Reading;
         }
--- a/src/controller/leadership/watches.rs
+++ b/src/controller/leadership/watches.rs
@@ -3,7 +3,7 @@
 use crate::controller::calls::{CallOrigin, LeadershipCall, Watch};
 use crate::controller::context::Context;
 use crate::controller::leadership::shard_lease;
-use crate::kv_store::KvRequest;
+use crate::kv_store::{KvRequest, PAGE_KEYS};
 use crate::time::Micros;
 use rand::RngExt;
 
@@ -92,7 +92,11 @@
             // the list of shard leases is short.
             None => context.call_store(
                 LeadershipCall::StartWatch(watch),
-                KvRequest::List { prefix: shard_lease::LEASE_KEY_PREFIX.into(), after: None },
+                KvRequest::List {
+                    prefix: shard_lease::LEASE_KEY_PREFIX.into(),
+                    after: None,
+                    limit: PAGE_KEYS,
+                },
             ),
         }
     }
--- a/src/controller/machines/desired_state/received.rs
+++ b/src/controller/machines/desired_state/received.rs
@@ -109,7 +109,7 @@
     }
 
     /// The tasks that are desired on a machine.
-    fn tasks_on(&self, machine: &str) -> &[DesiredTask] {
+    pub(crate) fn tasks_on(&self, machine: &str) -> &[DesiredTask] {
         self.machines.get(machine).map_or(&[], |desired| &desired.tasks)
     }
 
@@ -168,9 +168,10 @@
             };
             state.replace(machine, DesiredOnMachine { seq: update.seq, known_machine_term, tasks });
         }
-        for machine in touched {
-            self.desired_state_changed(&machine);
+        for machine in &touched {
+            self.desired_state_changed(machine);
         }
+        self.read_jobs_desired_on(&touched);
     }
 
     /// Handles a possible change of the desired tasks of a machine: recomputes its free
--- a/src/controller/machines/direct_commands.rs
+++ b/src/controller/machines/direct_commands.rs
@@ -147,7 +147,7 @@
                 self.direct_reply(&machine, &starts, term, reply);
             }
             MachinesCall::Inspect => self.leadership.probe_reply(&reply, self.context.now),
-            MachinesCall::ReadUnknownJob { .. } => {}
+            MachinesCall::ReadUnknownJob { .. } | MachinesCall::ReadUnknownJobs { .. } => {}
         }
     }
 
--- a/src/controller/machines/unknown_jobs.rs
+++ b/src/controller/machines/unknown_jobs.rs
@@ -5,15 +5,23 @@
 use crate::controller::Controller;
 use crate::controller::api::record_reads::RecordRead;
 use crate::controller::calls::{CallOrigin, MachinesCall};
-use crate::controller::jobs::job;
-use crate::controller::jobs::stage_cache::StageCache;
+use crate::controller::jobs::job::{self, StoredStage};
+use crate::controller::jobs::stage_cache::{CachedStage, StageCache};
 use crate::controller::machines::Machines;
-use crate::kv_store::{KvRequest, KvResponse};
+use crate::kv_store::{KvRequest, KvResponse, LARGE_PAGE_KEYS};
 use crate::time::Micros;
+use crate::wire::KeyValue;
 use std::collections::BTreeSet;
 
-/// Maximum number of reads in flight.
+/// Maximum number of reads of single records in flight.
 pub const MAX_READS: usize = 12;
+/// Number of queued jobs from which a page of records is read instead of single ones.
+pub const MIN_JOBS_FOR_PAGE: usize = 16;
+/// Number of queued jobs that a page must cover; otherwise the jobs lie too far apart among all stored
+/// ones, and are read one by one.
+const MIN_JOBS_COVERED: usize = 3;
+/// Time for which no page is read after one that covered too few jobs.
+const SPARSE_PAGE_PAUSE: Micros = Micros::secs(5);
 /// Maximum number of jobs queued. Jobs beyond that are found again with the next heartbeat of their
 /// machine.
 const MAX_QUEUED_JOBS: usize = 1_000;
@@ -27,12 +35,25 @@
 pub(crate) struct UnknownJobs {
     queued: BTreeSet<String>,
     in_flight: BTreeSet<String>,
+    page_in_flight: bool,
+    /// Earliest time of the next page.
+    no_page_before: Micros,
     /// Jobs that had no readable record under the current watch of jobs. No controller can have
     /// confirmed their cancellation, and the watch delivers any later record.
     without_stage: BTreeSet<String>,
+    /// Earliest time of the next read.
     not_before: Micros,
 }
 
+/// The next read of unknown jobs.
+#[derive(Debug, PartialEq, Eq)]
+enum NextRead {
+    /// The record of one job.
+    Record(String),
+    /// A page of records that begins at this job.
+    Page(String),
+}
+
 impl UnknownJobs {
     /// Queues jobs to be read, unless they are being read already.
     pub(crate) fn add(&mut self, jobs: impl IntoIterator<Item = String>) {
@@ -48,19 +69,38 @@
         !stages.contains(job) && !self.without_stage.contains(job)
     }
 
-    /// Takes the next unknown job and counts its read as in flight; `None` if no read may begin now.
-    /// Jobs that have become known are dropped from the queue.
-    fn begin_read(&mut self, now: Micros, stages: &StageCache) -> Option<String> {
-        if self.in_flight.len() >= MAX_READS || now < self.not_before {
+    /// Begins the next read; `None` if none may begin now. Jobs that have become known are dropped from
+    /// the front of the queue.
+    fn begin_read(&mut self, now: Micros, stages: &StageCache) -> Option<NextRead> {
+        if self.page_in_flight || now < self.not_before {
             return None;
         }
-        while let Some(id) = self.queued.pop_first() {
-            if self.is_unknown(&id, stages) {
-                self.in_flight.insert(id.clone());
-                return Some(id);
-            }
+        while self.queued.first().is_some_and(|id| !self.is_unknown(id, stages)) {
+            self.queued.pop_first();
+        }
+        if self.queued.len() >= MIN_JOBS_FOR_PAGE && now >= self.no_page_before {
+            self.page_in_flight = true;
+            return self.queued.first().cloned().map(NextRead::Page);
+        }
+        if self.in_flight.len() >= MAX_READS {
+            return None;
+        }
+        let id = self.queued.pop_first()?;
+        self.in_flight.insert(id.clone());
+        Some(NextRead::Record(id))
+    }
+
+    /// Removes and returns the queued jobs that a page covers, which begins at the job `first` and ends
+    /// with the key `last`, or with the last key of all if that is `None`.
+    fn take_covered(&mut self, now: Micros, first: &str, last: Option<&str>) -> BTreeSet<String> {
+        let is_covered = |id: &String| last.is_none_or(|last| job::job_key(id).as_str() <= last);
+        let from = self.queued.range(first.to_string()..);
+        let covered: BTreeSet<String> = from.take_while(|id| is_covered(id)).cloned().collect();
+        self.queued.retain(|id| !covered.contains(id));
+        if last.is_some() && covered.len() < MIN_JOBS_COVERED {
+            self.no_page_before = now + SPARSE_PAGE_PAUSE;
         }
-        None
+        covered
     }
 
     /// Records that a job was read and has no readable record.
@@ -78,6 +118,16 @@
         self.unknown_jobs.add(jobs);
     }
 
+    /// Queues the unknown jobs whose tasks any shard desires on a machine.
+    fn add_unknown_jobs_desired_on(&mut self, machine: &str, stages: &StageCache) {
+        let tasks = self.desired.iter().flat_map(|shard| shard.tasks_on(machine));
+        for task in tasks {
+            if self.unknown_jobs.is_unknown(&task.job, stages) {
+                self.unknown_jobs.add([task.job.clone()]);
+            }
+        }
+    }
+
     /// Drops what is known of jobs without a stage, since changes of them may have been missed.
     pub(crate) fn forget_jobs_without_stage(&mut self) {
         self.unknown_jobs.without_stage.clear();
@@ -85,23 +135,96 @@
 }
 
 impl Controller {
+    /// Reads the records of unknown jobs with desired tasks on these machines, as far as this process
+    /// leads their shards: they are needed when the machines report the tasks.
+    pub(crate) fn read_jobs_desired_on(&mut self, machines: &BTreeSet<String>) {
+        for machine in machines {
+            if self.leading_term(self.shard_of_machine(machine)).is_some() {
+                self.machines.add_unknown_jobs_desired_on(machine, &self.jobs.stage_cache);
+            }
+        }
+        self.read_unknown_jobs();
+    }
+
     /// Reads the records of unknown jobs from the key-value store, a limited number at once.
     pub(crate) fn read_unknown_jobs(&mut self) {
-        if !self.holds_lease() {
+        if !self.holds_lease() || !self.leadership.follows_jobs() {
             return;
         }
         let (now, origin) = (self.context.now, self.call_origin());
         let stages = &self.jobs.stage_cache;
-        while let Some(job) = self.machines.unknown_jobs.begin_read(now, stages) {
-            let key = job::job_key(&job);
-            self.context
-                .call_store(MachinesCall::ReadUnknownJob { job, origin }, KvRequest::Get(key));
+        while let Some(read) = self.machines.unknown_jobs.begin_read(now, stages) {
+            match read {
+                NextRead::Record(job) => {
+                    let request = KvRequest::Get(job::job_key(&job));
+                    self.context.call_store(MachinesCall::ReadUnknownJob { job, origin }, request);
+                }
+                NextRead::Page(first) => {
+                    let after = Some(job::key_before(&first));
+                    let (prefix, limit) = (job::job_key(""), LARGE_PAGE_KEYS);
+                    let request = KvRequest::List { prefix, after, limit };
+                    let call = MachinesCall::ReadUnknownJobs { first, origin };
+                    self.context.call_store(call, request);
+                }
+            }
         }
     }
 
     /// Handles the reply to the read of an unknown job's record.
     pub(crate) fn unknown_job_reply(&mut self, id: &str, origin: CallOrigin, reply: &KvResponse) {
         self.machines.unknown_jobs.in_flight.remove(id);
+        self.apply_unknown_job(id, origin, reply);
+        self.read_unknown_jobs();
+    }
+
+    /// Handles the reply with a page of records that begins at the unknown job `first`.
+    pub(crate) fn unknown_jobs_reply(
+        &mut self,
+        first: &str,
+        origin: CallOrigin,
+        reply: KvResponse,
+    ) {
+        let now = self.context.now;
+        self.machines.unknown_jobs.page_in_flight = false;
+        match reply {
+            KvResponse::Page { .. } if self.leadership.is_outdated(origin) => {}
+            KvResponse::Page { items, more, .. } => {
+                let last = items.last().filter(|_| more).map(|item| item.key.clone());
+                let unknown_jobs = &mut self.machines.unknown_jobs;
+                let mut covered = unknown_jobs.take_covered(now, first, last.as_deref());
+                for item in items {
+                    let id = item.key.strip_prefix(&job::job_key("")).unwrap_or_default();
+                    match covered.take(id) {
+                        Some(id) => {
+                            self.apply_unknown_job(&id, origin, &KvResponse::Value(Some(item)));
+                        }
+                        None => self.cache_unfinished_neighbour(id, &item),
+                    }
+                }
+                for id in covered {
+                    self.apply_unknown_job(&id, origin, &KvResponse::Value(None));
+                }
+            }
+            _ => self.machines.unknown_jobs.not_before = now + RETRY_DELAY,
+        }
+        self.read_unknown_jobs();
+    }
+
+    /// Caches the stage in a record beside those of unknown jobs, unless the job is done: machines that
+    /// have not reported yet may list its tasks.
+    fn cache_unfinished_neighbour(&mut self, id: &str, item: &KeyValue) {
+        if self.jobs.stage_cache.contains(id) {
+            return;
+        }
+        if let Some(cached) = CachedStage::recorded(item)
+            && cached.stage != StoredStage::Done
+        {
+            self.cache_stage(id, cached);
+        }
+    }
+
+    /// Applies what was read of an unknown job.
+    fn apply_unknown_job(&mut self, id: &str, origin: CallOrigin, reply: &KvResponse) {
         match self.apply_record_reply(id, origin, reply) {
             RecordRead::Found { .. } => {}
             RecordRead::Outdated => self.machines.add_unknown_jobs(vec![id.to_string()]),
@@ -112,6 +235,5 @@
                 self.machines.unknown_jobs.add_without_stage(id);
             }
         }
-        self.read_unknown_jobs();
     }
 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -145,6 +145,12 @@
             ) => {
                 self.unknown_job_reply(&job, origin, &reply);
             }
+            (
+                PendingCall::Machines(MachinesCall::ReadUnknownJobs { first, origin }),
+                Reply::KvStore(reply),
+            ) => {
+                self.unknown_jobs_reply(&first, origin, reply);
+            }
             (PendingCall::Machines(call), Reply::Direct(reply)) => {
                 self.machines_reply(call, reply);
             }
--- a/src/controller/quota/sharing.rs
+++ b/src/controller/quota/sharing.rs
@@ -9,7 +9,7 @@
 use crate::controller::quota::job_demand::{pending_demand, shard_usage};
 use crate::controller::quota::target_grant::{RankedDemand, unmet_demand};
 use crate::controller::quota::team_quota::{self, TeamQuota};
-use crate::kv_store::KvRequest;
+use crate::kv_store::{KvRequest, PAGE_KEYS};
 use crate::peer::QuotaDemand;
 use crate::resources::TOLERANCE;
 use crate::time::Micros;
@@ -96,7 +96,11 @@
             return;
         }
         if self.quota.start_listing() {
-            let call = KvRequest::List { prefix: team_quota::KEY_PREFIX.into(), after: None };
+            let call = KvRequest::List {
+                prefix: team_quota::KEY_PREFIX.into(),
+                after: None,
+                limit: PAGE_KEYS,
+            };
             return self.context.call_store(QuotaCall::List, call);
         }
         let local_demand = self.quota.unmet_demand(&self.jobs, &self.leadership, self.context.now);
--- a/src/kv_store/mod.rs
+++ b/src/kv_store/mod.rs
@@ -14,8 +14,10 @@
     WatchEvent, WatchResponse, path,
 };
 
-/// Maximum number of keys per page of a list.
-const PAGE_KEYS: usize = 100;
+/// Number of keys in a page of a list of values of any size.
+pub const PAGE_KEYS: usize = 100;
+/// Number of keys in a page of a list of short values, the most that the store returns.
+pub const LARGE_PAGE_KEYS: usize = 1_000;
 /// How long the response to a watch may take beyond the time for which the store waits.
 const WATCH_GRACE_PERIOD: Micros = Micros::secs(5);
 /// How long the response to a lease request may take. It is short, so that a retry fits before the
@@ -38,6 +40,8 @@
         prefix: String,
         /// The page begins after this key; at the first key if absent.
         after: Option<String>,
+        /// Maximum number of keys in the page.
+        limit: usize,
     },
     /// Compare-and-swap: writes keys if all conditions hold.
     Txn(Txn),
@@ -138,9 +142,9 @@
     pub fn encode(&self) -> OutgoingRequest {
         match self {
             KvRequest::Get(key) => OutgoingRequest::get(format!("{}/{key}", path::KV)),
-            KvRequest::List { prefix, after } => {
+            KvRequest::List { prefix, after, limit } => {
                 let after = after.as_ref().map_or(String::new(), |key| format!("&after={key}"));
-                let query = format!("prefix={prefix}{after}&limit={PAGE_KEYS}");
+                let query = format!("prefix={prefix}{after}&limit={limit}");
                 OutgoingRequest::get(format!("{}?{query}", path::KV))
             }
             KvRequest::Txn(txn) => OutgoingRequest::post(path::TXN.into(), txn),
--- a/tests/cluster/simulation/row.rs
+++ b/tests/cluster/simulation/row.rs
@@ -7,7 +7,7 @@
 use std::ops::Range;
 
 /// Second at which the run of a row ends at the latest.
-const END_S: u64 = 400;
+pub const END_S: u64 = 400;
 
 /// A row of a table: its name, its faults, the jobs that users submit, and a check that the run
 /// exercised what the row is for, without which a pass proves nothing.
--- a/tests/components/http.rs
+++ b/tests/components/http.rs
@@ -80,7 +80,7 @@
     let second = Micros::secs(1);
     let list = |after: Option<&str>| {
         let after = after.map(String::from);
-        KvRequest::List { prefix: "j/".into(), after }
+        KvRequest::List { prefix: "j/".into(), after, limit: 100 }
     };
     let watch = KvRequest::Watch { prefix: "j/".into(), after: 3, block: second };
     let txn = Txn {
--- a/tests/controller/harness/requests.rs
+++ b/tests/controller/harness/requests.rs
@@ -41,7 +41,7 @@
         let mut all: Vec<KeyValue> = Vec::new();
         loop {
             let after = all.last().map(|i| i.key.clone());
-            let call = KvRequest::List { prefix: prefix.into(), after };
+            let call = KvRequest::List { prefix: prefix.into(), after, limit: 100 };
             let KvResponse::Page { items, more, .. } = self.store.apply(self.now, &call) else {
                 panic!("listing {prefix:?} returns no page");
             };
--- a/tests/controller/safety_guards/lease_renewals.rs
+++ b/tests/controller/safety_guards/lease_renewals.rs
@@ -3,7 +3,7 @@
 use crate::harness::{Harness, Outcome, settings};
 use millethold::controller::jobs::stage_cache::MAX_CACHED_JOBS;
 use millethold::controller::machines::unknown_jobs::{
-    MAX_READS as MAX_UNKNOWN_READS, RETRY_DELAY as READ_RETRY_DELAY,
+    MAX_READS as MAX_UNKNOWN_READS, MIN_JOBS_FOR_PAGE, RETRY_DELAY as READ_RETRY_DELAY,
 };
 use millethold::kv_store::KvRequest;
 use millethold::time::Micros;
@@ -14,6 +14,9 @@
 /// Time in which a call is answered, and a watch that has ended is called again.
 const SHORT: Micros = Micros::millis(100);
 
+/// Number of values in a page of the stand-in of the store.
+const STORE_PAGE: usize = 5;
+
 /// The record of a job of shard 1 at this stage: `a`, `c` or `d`.
 fn record(stage: &str) -> Value {
     json!({"s": 1, "g": stage, "n": 4})
@@ -114,25 +117,72 @@
     }
 }
 
-/// Many jobs are unknown. Machines of other jobs are answered meanwhile.
-#[test]
-fn unknown_jobs_read_without_a_pause_while_the_store_refuses() {
+/// Ids of jobs of the other controller's shard, with `gap` jobs without tasks between two of them.
+fn many_jobs(count: usize, gap: usize) -> Vec<String> {
+    (0..count).map(|number| format!("j-{:06}", number * (gap + 1))).collect()
+}
+
+/// Starts a controller after many jobs were accepted. Machines list tasks of those in `ids`, others have
+/// no tasks.
+fn beside_the_leader_of_many_jobs(ids: &[String], stored: usize) -> Harness {
     let mut harness = beside_the_leader_of_the_job(&[]);
-    let reads_jobs =
-        |call: &KvRequest| matches!(call, KvRequest::Get(key) if key.starts_with("j/"));
-    harness.outcome =
-        Box::new(move |call| if reads_jobs(call) { Outcome::Refused } else { Outcome::Served });
-    let tasks: Vec<String> = (0..400).map(|job| format!("j-{job}/0")).collect();
-    (0..4).for_each(|_| harness.add_machine_with_tasks(tasks.clone()));
+    harness.put_together((0..stored).map(|number| (format!("j/j-{number:06}"), record("a"))));
+    harness.start_new_process();
+    harness.wait_until_healthy();
+    harness.task_duration_s.extend(ids.iter().map(|id| (id.clone(), 1_000.0)));
+    for _ in 0..4 {
+        harness.add_machine_with_tasks(ids.iter().map(|id| format!("{id}/0")));
+    }
     (0..4).for_each(|_| harness.add_machine());
     harness.calls.clear();
-    let steps = 20;
-    harness.run(Micros(steps * READ_RETRY_DELAY.0));
-    let reads = harness.calls.iter().filter(|call| reads_jobs(call)).count();
-    let most = MAX_UNKNOWN_READS * (steps as usize + 1);
-    assert!((steps as usize..=most).contains(&reads), "{reads} reads");
-    assert!(!harness.renewals.is_empty(), "machines without tasks are answered");
-    assert_eq!(harness.renewals.concat(), Vec::<String>::new(), "kept");
+    harness.renewals.clear();
+    harness
+}
+
+fn reads_jobs(call: &KvRequest) -> bool {
+    match call {
+        KvRequest::Get(key) => key.starts_with("j/"),
+        KvRequest::List { prefix, .. } => prefix == "j/",
+        _ => false,
+    }
+}
+
+/// Machines of other jobs are answered meanwhile.
+#[test]
+fn unknown_jobs_read_without_a_pause_while_the_store_refuses() {
+    type IsRefused = fn(&KvRequest) -> bool;
+    let table: [(&str, usize, usize, IsRefused); 2] = [
+        ("by pages", 400, 0, reads_jobs),
+        ("one by one", 40, 20, |call| matches!(call, KvRequest::Get(_)) && reads_jobs(call)),
+    ];
+    for (name, count, gap, is_refused) in table {
+        let mut harness = beside_the_leader_of_many_jobs(&many_jobs(count, gap), count * (gap + 1));
+        harness.outcome = Box::new(move |call| match is_refused(call) {
+            true => Outcome::Refused,
+            false => Outcome::Served,
+        });
+        let periods = 20;
+        harness.run(Micros(periods * READ_RETRY_DELAY.0));
+        let reads = harness.calls.iter().filter(|call| is_refused(call)).count();
+        let most = (periods as usize + 1) * if gap == 0 { 1 } else { MAX_UNKNOWN_READS };
+        assert!((2..=most).contains(&reads), "{name}: {reads} reads");
+        assert!(!harness.renewals.is_empty(), "{name}: machines without tasks are answered");
+        assert_eq!(harness.renewals.concat(), Vec::<String>::new(), "{name}: kept");
+    }
+}
+
+/// Guards against machines that lose their tasks since their jobs are read too slowly.
+#[test]
+fn many_unknown_jobs_are_read_soon() {
+    let table =
+        [("side by side", 400, 0, 400 / STORE_PAGE + MIN_JOBS_FOR_PAGE), ("far apart", 40, 20, 42)];
+    for (name, count, gap, most_reads) in table {
+        let mut harness = beside_the_leader_of_many_jobs(&many_jobs(count, gap), count * (gap + 1));
+        harness.run(Micros::secs(3));
+        let reads = harness.calls.iter().filter(|call| reads_jobs(call)).count();
+        assert!((2..=most_reads).contains(&reads), "{name}: {reads} reads");
+        assert!(harness.renewals.iter().any(|tasks| tasks.len() == count), "{name}: not answered");
+    }
 }
 
 /// No cancellation of a job without a readable record can have been confirmed.
--- a/tests/stand_ins/store.rs
+++ b/tests/stand_ins/store.rs
@@ -76,7 +76,7 @@
         self.expire_leases(now);
         match call {
             KvRequest::Get(key) => KvResponse::Value(self.get(key)),
-            KvRequest::List { prefix, after } => self.list(prefix, after.as_ref()),
+            KvRequest::List { prefix, after, .. } => self.list(prefix, after.as_ref()),
             KvRequest::Txn(txn) => self.transact(txn),
             KvRequest::GrantLease(ttl) => {
                 self.last_lease += 1;
