--- a/src/controller/machines/cancellation.rs
+++ b/src/controller/machines/cancellation.rs
@@ -107,7 +107,8 @@
 
 impl Controller {
     /// Whether this process has received every cancellation that was confirmed longer ago than
-    /// the permitted lag. Without this check, a watch that delivers nothing while lease
+    /// the permitted lag, and since it began to follow the jobs; an earlier one is known once the job's
+    /// record is read (see [`renewal`](super::renewal)). Without this check, a watch that delivers nothing while lease
     /// renewals succeed (because it hangs, or this process lags behind) would keep cancelled
     /// tasks alive.
     pub(crate) fn cancellations_up_to_date(&self) -> bool {
--- a/src/controller/machines/start_permit.rs
+++ b/src/controller/machines/start_permit.rs
@@ -38,7 +38,7 @@
     /// Until when this process's controller lease is guaranteed to be valid, by its own clock.
     pub lease_until: Micros,
     /// Whether this process has received every cancellation that was confirmed longer ago than
-    /// the permitted lag.
+    /// the permitted lag, and since it began to follow the jobs.
     pub cancellations_known: bool,
 }
 
