--- a/src/controller/api/cancellation_requests.rs
+++ b/src/controller/api/cancellation_requests.rs
@@ -3,7 +3,8 @@
 
 use crate::controller::api::pending::CancelledJob;
 use crate::controller::api::record_reads::RecordRead;
-use crate::controller::calls::{ApiCall, CallOrigin};
+use crate::controller::call_origin::CallOrigin;
+use crate::controller::calls::ApiCall;
 use crate::controller::jobs::dependency_graph::DependencyOutcome;
 use crate::controller::jobs::job::{self, JobRecord, StoredStage};
 use crate::controller::{CachedStage, Controller, Ticket};
--- a/src/controller/api/dependency_comparison.rs
+++ b/src/controller/api/dependency_comparison.rs
@@ -1,7 +1,8 @@
 //! Answers about jobs with pending dependencies, given only after the store has confirmed
 //! that none of the dependencies is cancelled.
 
-use crate::controller::calls::{ApiCall, CallOrigin};
+use crate::controller::call_origin::CallOrigin;
+use crate::controller::calls::ApiCall;
 use crate::controller::jobs::dependency_graph::{DependencyOutcome, UnfinishedJob};
 use crate::controller::jobs::job;
 use crate::controller::jobs::stage_cache::CachedStage;
--- a/src/controller/api/dependency_lookup.rs
+++ b/src/controller/api/dependency_lookup.rs
@@ -2,7 +2,8 @@
 
 use crate::controller::api::pending::PreparedAnswer;
 use crate::controller::api::record_reads::RecordRead;
-use crate::controller::calls::{ApiCall, CallOrigin};
+use crate::controller::call_origin::CallOrigin;
+use crate::controller::calls::ApiCall;
 use crate::controller::jobs::job::{self, MAX_SINGLE_READS};
 use crate::controller::{Controller, Ticket};
 use crate::kv_store::{KvRequest, KvResponse};
--- a/src/controller/api/pending.rs
+++ b/src/controller/api/pending.rs
@@ -1,6 +1,6 @@
 //! State of requests whose answers wait for the key-value store or the peers.
 
-use crate::controller::calls::CallOrigin;
+use crate::controller::call_origin::CallOrigin;
 use crate::controller::event::Ticket;
 use crate::time::Micros;
 use crate::wire::{JobSpec, Refusal};
--- a/src/controller/api/record_reads.rs
+++ b/src/controller/api/record_reads.rs
@@ -1,7 +1,8 @@
 //! Reads of single jobs' records for answers to users.
 
 use crate::controller::api::pending::PreparedAnswer;
-use crate::controller::calls::{ApiCall, CallOrigin};
+use crate::controller::call_origin::CallOrigin;
+use crate::controller::calls::ApiCall;
 use crate::controller::jobs::job::{self, JobRecord, StoredStage};
 use crate::controller::{CachedStage, Controller, Effect, Ticket};
 use crate::kv_store::{KvRequest, KvResponse};
--- a/src/controller/calls.rs
+++ b/src/controller/calls.rs
@@ -7,12 +7,12 @@
 )]
 
 use crate::controller::api::pending::{AdmissionGroup, CancelledJob, PreparedAnswer, QueriedJobs};
+use crate::controller::call_origin::CallOrigin;
 use crate::controller::event::Ticket;
 use crate::controller::jobs::batches::BatchedChange;
 use crate::controller::jobs::dependency_graph::FurtherDependencyKey;
 use crate::controller::jobs::job::ReadChunk;
 use crate::controller::jobs::write_plan::JobWrite;
-use crate::controller::leadership::watches::WatchGeneration;
 use crate::controller::machines::attempt::AttemptId;
 use crate::time::Micros;
 use crate::wire::JobSpec;
@@ -58,20 +58,6 @@
     ReadRecoveredRecord { shard: usize, term: u64, job: String, origin: CallOrigin },
 }
 
-/// When a call was sent.
-///
-/// The store evaluates the call at some later moment, but the reply is only certain to include the
-/// changes that were made before the call was sent.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct CallOrigin {
-    /// Time from which the age of the reply is counted: see
-    /// [`Controller::is_fresh`](super::Controller::is_fresh).
-    pub(crate) sent_at: Micros,
-    /// Generation of the watch of jobs: see
-    /// [`Leadership::is_outdated`](super::leadership::Leadership::is_outdated).
-    pub(crate) generation: WatchGeneration,
-}
-
 /// Purpose of a call that a user's request waits for. `sent_at` is as in [`CallOrigin`].
 #[derive(Debug, Clone)]
 pub(crate) enum ApiCall {
--- a/src/controller/leadership/mod.rs
+++ b/src/controller/leadership/mod.rs
@@ -21,7 +21,7 @@
 mod unlisted_jobs;
 mod watch_events;
 
-use crate::controller::calls::CallOrigin;
+use crate::controller::call_origin::CallOrigin;
 use crate::controller::event::DirectReply;
 use crate::time::Micros;
 use connectivity::Connectivity;
--- a/src/controller/leadership/recovered_jobs.rs
+++ b/src/controller/leadership/recovered_jobs.rs
@@ -1,7 +1,7 @@
 //! End of a recovery: runs the jobs that were read.
 
 use crate::controller::Controller;
-use crate::controller::calls::CallOrigin;
+use crate::controller::call_origin::CallOrigin;
 use crate::controller::jobs::job::JobRecord;
 use crate::controller::jobs::stage_cache::CachedStage;
 use crate::controller::leadership::Leadership;
--- a/src/controller/leadership/recovery.rs
+++ b/src/controller/leadership/recovery.rs
@@ -3,7 +3,8 @@
 //! First the chunks of all stored jobs of the shard are listed, page by page, then the record of
 //! each job is read. Changes after the read of a record arrive through the watch.
 
-use crate::controller::calls::{CallOrigin, LeadershipCall};
+use crate::controller::call_origin::CallOrigin;
+use crate::controller::calls::LeadershipCall;
 use crate::controller::context::Context;
 use crate::controller::jobs::job::{self, JobRecord, StoredChunkValue};
 use crate::kv_store::{KvRequest, KvResponse, PAGE_KEYS};
--- a/src/controller/leadership/watches.rs
+++ b/src/controller/leadership/watches.rs
@@ -1,6 +1,7 @@
 //! Watches of the key-value store, by which this process receives changes.
 
-use crate::controller::calls::{CallOrigin, LeadershipCall, Watch};
+use crate::controller::call_origin::{CallOrigin, WatchGeneration};
+use crate::controller::calls::{LeadershipCall, Watch};
 use crate::controller::context::Context;
 use crate::controller::leadership::shard_lease;
 use crate::kv_store::{KvRequest, PAGE_KEYS};
@@ -26,14 +27,6 @@
     }
 }
 
-/// Counts the starts of a watch.
-///
-/// A watch delivers only changes after the revision from which it started. The reply to a call that
-/// was sent under an earlier generation may be older than that revision, and what has changed in
-/// between is never delivered.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct WatchGeneration(u64);
-
 /// Progress of a watch.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct WatchState {
@@ -64,7 +57,7 @@
 
     /// Records that the watch starts from `revision`: earlier changes may have been missed.
     pub(crate) fn started(&mut self, revision: u64) {
-        self.generation.0 += 1;
+        self.generation.advance();
         self.answered(revision);
     }
 
--- a/src/controller/machines/unknown_jobs.rs
+++ b/src/controller/machines/unknown_jobs.rs
@@ -4,7 +4,8 @@
 
 use crate::controller::Controller;
 use crate::controller::api::record_reads::RecordRead;
-use crate::controller::calls::{CallOrigin, MachinesCall};
+use crate::controller::call_origin::CallOrigin;
+use crate::controller::calls::MachinesCall;
 use crate::controller::jobs::job::{self, StoredStage};
 use crate::controller::jobs::stage_cache::{CachedStage, StageCache};
 use crate::controller::machines::Machines;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -27,6 +27,7 @@
 pub mod quota;
 pub mod scheduler;
 
+mod call_origin;
 mod calls;
 mod context;
 mod decision_log;
