Read the first job records when the watch of jobs starts

Cost of the refusals again: at about 4,000 machines most machines report within two seconds of a return, before the first unknown job is read.

A process reads up to three pages of 1,000 records as its watch of jobs starts, and caches the stages that are not done, so that most heartbeats are answered at once. Jobs beyond are read as before.

The tests of reads that cross a start or a gap refuse these pages, so that the stages in question stay unknown; a row for the pages themselves fails without their guard (`first records over a gap`).

--- a/src/controller/calls.rs
+++ b/src/controller/calls.rs
@@ -112,6 +112,8 @@
     ReadUnknownJob { job: String, origin: CallOrigin },
     /// Reads a page of jobs' records that begins at the job `first`, which is unknown to this process.
     ReadUnknownJobs { first: String, origin: CallOrigin },
+    /// Reads a page of jobs' records since the watch of jobs has started.
+    PreloadStages { origin: CallOrigin },
     /// Sends direct commands under a term of the machine's shard; `starts` are the starts among
     /// them.
     Direct { machine: String, starts: Vec<AttemptId>, term: u64 },
--- a/src/controller/leadership/watch_events.rs
+++ b/src/controller/leadership/watch_events.rs
@@ -122,7 +122,7 @@
     /// conclusion drawn from their records may be outdated.
     fn job_changes_missed(&mut self) {
         self.jobs.stage_cache.forget_unfinished();
-        self.machines.forget_jobs_without_stage();
+        self.preload_stages();
         self.leadership.acceptances_missed();
         for recovery in self.leadership.recoveries.values_mut() {
             recovery.read_records_again();
--- a/src/controller/machines/direct_commands.rs
+++ b/src/controller/machines/direct_commands.rs
@@ -147,7 +147,9 @@
                 self.direct_reply(&machine, &starts, term, reply);
             }
             MachinesCall::Inspect => self.leadership.probe_reply(&reply, self.context.now),
-            MachinesCall::ReadUnknownJob { .. } | MachinesCall::ReadUnknownJobs { .. } => {}
+            MachinesCall::ReadUnknownJob { .. }
+            | MachinesCall::ReadUnknownJobs { .. }
+            | MachinesCall::PreloadStages { .. } => {}
         }
     }
 
--- a/src/controller/machines/unknown_jobs.rs
+++ b/src/controller/machines/unknown_jobs.rs
@@ -26,6 +26,8 @@
 /// Maximum number of jobs queued. Jobs beyond that are found again with the next heartbeat of their
 /// machine.
 const MAX_QUEUED_JOBS: usize = 1_000;
+/// Maximum number of pages that are read when the watch of jobs starts.
+const PRELOADED_PAGES: u32 = 3;
 /// Maximum number of jobs kept as without a stage.
 const MAX_JOBS_WITHOUT_STAGE: usize = 1_000;
 /// Pause after a read without an answer, which also ends a series of refused calls.
@@ -44,6 +46,8 @@
     without_stage: BTreeSet<String>,
     /// Earliest time of the next read.
     not_before: Micros,
+    /// Pages that are still to be read since the watch of jobs has started.
+    pages_to_preload: u32,
 }
 
 /// The next read of unknown jobs.
@@ -128,14 +132,43 @@
             }
         }
     }
-
-    /// Drops what is known of jobs without a stage, since changes of them may have been missed.
-    pub(crate) fn forget_jobs_without_stage(&mut self) {
-        self.unknown_jobs.without_stage.clear();
-    }
 }
 
 impl Controller {
+    /// Reads the first records when the watch of jobs has started, since most jobs are unknown then and
+    /// their machines report within seconds. Jobs without a stage are unknown again, too.
+    pub(crate) fn preload_stages(&mut self) {
+        self.machines.unknown_jobs.without_stage.clear();
+        self.machines.unknown_jobs.pages_to_preload = PRELOADED_PAGES;
+        self.read_page_of_stages(None);
+    }
+
+    fn read_page_of_stages(&mut self, after: Option<String>) {
+        let unknown_jobs = &mut self.machines.unknown_jobs;
+        unknown_jobs.pages_to_preload = unknown_jobs.pages_to_preload.saturating_sub(1);
+        let (prefix, limit) = (job::job_key(""), LARGE_PAGE_KEYS);
+        let call = MachinesCall::PreloadStages { origin: self.call_origin() };
+        self.context.call_store(call, KvRequest::List { prefix, after, limit });
+    }
+
+    /// Handles the reply with a page of records that was read since the watch of jobs has started.
+    pub(crate) fn preloaded_stages_reply(&mut self, origin: CallOrigin, reply: KvResponse) {
+        let KvResponse::Page { items, more, .. } = reply else {
+            return;
+        };
+        if self.leadership.is_outdated(origin) {
+            return;
+        }
+        for item in &items {
+            let id = item.key.strip_prefix(&job::job_key("")).unwrap_or_default();
+            self.cache_unless_done(id, item);
+        }
+        let last = items.last().filter(|_| more).map(|item| item.key.clone());
+        if last.is_some() && self.machines.unknown_jobs.pages_to_preload > 0 {
+            self.read_page_of_stages(last);
+        }
+    }
+
     /// Reads the records of unknown jobs with desired tasks on these machines, as far as this process
     /// leads their shards: they are needed when the machines report the tasks.
     pub(crate) fn read_jobs_desired_on(&mut self, machines: &BTreeSet<String>) {
@@ -199,7 +232,7 @@
                         Some(id) => {
                             self.apply_unknown_job(&id, origin, &KvResponse::Value(Some(item)));
                         }
-                        None => self.cache_unfinished_neighbour(id, &item),
+                        None => self.cache_unless_done(id, &item),
                     }
                 }
                 for id in covered {
@@ -211,9 +244,9 @@
         self.read_unknown_jobs();
     }
 
-    /// Caches the stage in a record beside those of unknown jobs, unless the job is done: machines that
-    /// have not reported yet may list its tasks.
-    fn cache_unfinished_neighbour(&mut self, id: &str, item: &KeyValue) {
+    /// Caches the stage in a record that was read with others, unless the job is done: machines that have
+    /// not reported yet may list its tasks.
+    fn cache_unless_done(&mut self, id: &str, item: &KeyValue) {
         if self.jobs.stage_cache.contains(id) {
             return;
         }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -152,6 +152,12 @@
             ) => {
                 self.unknown_jobs_reply(&first, origin, reply);
             }
+            (
+                PendingCall::Machines(MachinesCall::PreloadStages { origin }),
+                Reply::KvStore(reply),
+            ) => {
+                self.preloaded_stages_reply(origin, reply);
+            }
             (PendingCall::Machines(call), Reply::Direct(reply)) => {
                 self.machines_reply(call, reply);
             }
--- a/tests/controller/safety_guards/lease_renewals.rs
+++ b/tests/controller/safety_guards/lease_renewals.rs
@@ -27,11 +27,13 @@
 }
 
 /// Starts one of two controllers with four machines, on which tasks of job j-1 of the other's shard run.
-/// It leads the shard of some of these machines.
+/// It leads the shard of some of these machines. No stage is preloaded, as of jobs after the first pages.
 fn beside_the_leader_of_the_job(stored: &[(String, Value)]) -> Harness {
     let lease = json!({"member": "n1", "run": 3, "term": 4, "lease": 99});
     let mut harness = Harness::new(&settings(0, 2, ""), stored);
     harness.put_together([("seat/1", json!({"term": 4})), ("hold/1", lease)]);
+    harness.outcome =
+        Box::new(|call| if preloads(call) { Outcome::Refused } else { Outcome::Served });
     harness.wait_until_healthy();
     harness.task_duration_s.insert("j-1".into(), 1_000.0);
     harness
@@ -42,8 +44,16 @@
 }
 
 fn hold_reads(harness: &mut Harness) {
-    harness.outcome =
-        Box::new(|call| if reads_job(call) { Outcome::Held } else { Outcome::Served });
+    harness.outcome = Box::new(|call| match call {
+        call if reads_job(call) => Outcome::Held,
+        call if preloads(call) => Outcome::Refused,
+        _ => Outcome::Served,
+    });
+}
+
+/// Whether a call reads the first records since the watch of jobs has started.
+fn preloads(call: &KvRequest) -> bool {
+    matches!(call, KvRequest::List { prefix, after: None, .. } if prefix == "j/")
 }
 
 /// The machine's first heartbeat reports the fencing token of an earlier leader.
@@ -185,6 +195,20 @@
     }
 }
 
+/// Guards against a refused heartbeat of each machine after each failover.
+#[test]
+fn machines_are_not_refused_after_the_start_for_jobs_of_the_first_pages() {
+    let mut harness = beside_the_leader_of_the_job(&[("j/j-1".into(), record("a"))]);
+    harness.outcome = Box::new(|_| Outcome::Served);
+    harness.start_new_process();
+    harness.wait_until_healthy();
+    add_machines(&mut harness);
+    harness.run(HEARTBEATS);
+    assert!(!harness.renewals.concat().is_empty(), "no heartbeat is answered");
+    let status = harness.controller.status(harness.now);
+    assert_eq!(status["counts"]["decisions"]["renewals_refused_for_unknown"], json!(0));
+}
+
 /// No cancellation of a job without a readable record can have been confirmed.
 #[test]
 fn machines_of_jobs_without_a_readable_record_are_answered() {
--- a/tests/controller/safety_guards/outdated_replies.rs
+++ b/tests/controller/safety_guards/outdated_replies.rs
@@ -5,7 +5,7 @@
 use crate::harness::{Harness, Outcome, settings, submission, submission_after};
 use millethold::controller::jobs::job::MAX_SINGLE_READS;
 use millethold::controller::jobs::stage_cache::MAX_CACHED_JOBS;
-use millethold::kv_store::KvRequest;
+use millethold::kv_store::{KvRequest, LARGE_PAGE_KEYS};
 use millethold::time::Micros;
 use millethold::wire::Txn;
 use serde_json::{Value, json};
@@ -23,11 +23,13 @@
 }
 
 /// Creates one of two controllers that has not started yet. The other one leads shard 1, to which
-/// job j-1 belongs.
+/// job j-1 belongs. Its stage is not preloaded, as that of a job after the first pages.
 fn not_started() -> Harness {
     let lease = json!({"member": "n1", "run": 3, "term": 4, "lease": 99});
     let mut harness = Harness::new(&settings(0, 2, ""), &[("j/j-1".into(), record("a"))]);
     harness.put_together([("seat/1", json!({"term": 4})), ("hold/1", lease)]);
+    harness.outcome =
+        Box::new(|call| if preloads(call) { Outcome::Refused } else { Outcome::Served });
     harness
 }
 
@@ -58,7 +60,13 @@
     matches!(call, KvRequest::Get(key) if key == "j/j-1")
 }
 
-/// Holds back the reply to the next call for which `is_held` is true.
+/// Whether a call reads the first records since the watch of jobs has started.
+fn preloads(call: &KvRequest) -> bool {
+    matches!(call, KvRequest::List { prefix, limit, .. } if prefix == "j/" && *limit == LARGE_PAGE_KEYS)
+}
+
+/// Holds back the reply to the next call for which `is_held` is true. Nothing else is preloaded
+/// meanwhile, so that stages are unknown after a gap.
 fn hold_next_reply(harness: &mut Harness, is_held: fn(&KvRequest) -> bool) {
     let mut pending = true;
     harness.outcome = Box::new(move |call| match pending && is_held(call) {
@@ -66,6 +74,7 @@
             pending = false;
             Outcome::ReplyHeld
         }
+        false if preloads(call) => Outcome::Refused,
         false => Outcome::Served,
     });
 }
@@ -133,8 +142,17 @@
 
 /// The read is sent before the watches start anew and answered afterwards; the job ends in between.
 fn read_crosses_a_gap(harness: &mut Harness, read: impl FnOnce(&mut Harness)) {
+    read_crosses_a_gap_after(harness, reads_dependency, read);
+}
+
+/// As [`read_crosses_a_gap`], for a call for which `is_read` is true.
+fn read_crosses_a_gap_after(
+    harness: &mut Harness,
+    is_read: fn(&KvRequest) -> bool,
+    read: impl FnOnce(&mut Harness),
+) {
     harness.watches_hang = true;
-    hold_next_reply(harness, reads_dependency);
+    hold_next_reply(harness, is_read);
     read(harness);
     harness.run(SHORT);
     dependency_ends(harness);
@@ -179,11 +197,10 @@
     assert_eq!(harness.submit(&submission_after("j-2", &dependencies)).status, 201);
     harness.run(SHORT);
     harness.watches_hang = true;
+    hold_next_reply(harness, |call| {
+        matches!(call, KvRequest::List { prefix, .. } if prefix == "j/") && !preloads(call)
+    });
     restart_watches(harness);
-    hold_next_reply(
-        harness,
-        |call| matches!(call, KvRequest::List { prefix, .. } if prefix == "j/"),
-    );
     harness.run(Micros::millis(1_500));
     harness.watches_hang = true;
     dependency_ends(harness);
@@ -195,6 +212,15 @@
     harness.run(SHORT);
 }
 
+/// The first records are read after one gap, and the reply comes after another.
+fn preload_over_a_gap(harness: &mut Harness) {
+    submit_dependent(harness);
+    read_crosses_a_gap_after(harness, preloads, |harness| {
+        restart_watches(harness);
+        harness.watches_hang = true;
+    });
+}
+
 /// The record of a local job is read back because of one gap, and the reply comes after another.
 fn read_back_over_a_gap(harness: &mut Harness) {
     assert_eq!(harness.submit(&submission("j-3")).status, 201);
@@ -259,7 +285,7 @@
 #[test]
 fn dependents_are_released_although_a_read_crosses_the_start_of_the_watch() {
     type Trouble = fn(&mut Harness);
-    let table: [(&str, Trouble); 10] = [
+    let table: [(&str, Trouble); 11] = [
         ("status query at the start of the process", query_at_the_start),
         ("cancellation at the start of the process", cancellation_at_the_start),
         ("repeated submission at the start of the process", repeated_submission_at_the_start),
@@ -267,6 +293,7 @@
         ("lookup of a submitted job's dependency over a gap", lookup_over_a_gap),
         ("read of a job that has become unknown over a gap", unknown_job_over_a_gap),
         ("page of records over a gap", page_over_a_gap),
+        ("first records over a gap", preload_over_a_gap),
         ("read-back of a local job over a gap", read_back_over_a_gap),
         ("admission over a gap", admission_over_a_gap),
         ("poll of the jobs' changes over a gap", poll_over_a_gap),
