Add the dependencies of records that are read with others; one guard for outdated ones

Records that are read beside others, at the start of the watch, with unknown jobs or by a recovery, set the stage of a job without its dependencies; all other reads set both, and the cached stage of a job without them could be taken for complete. Found by reading. A test of a poll of such a job passed without the change, too, since the poll reads the record first; it is not kept.

The check that such a reply is not older than the watch stands in one place now; taken out, the row "first records over a gap" fails.

--- a/src/controller/jobs/stage_cache.rs
+++ b/src/controller/jobs/stage_cache.rs
@@ -24,13 +24,6 @@
 }
 
 impl CachedStage {
-    /// The stage in a job's stored record; `None` if it is unreadable.
-    pub(crate) fn recorded(item: &KeyValue) -> Option<CachedStage> {
-        let record: JobRecord = serde_json::from_value(item.value.clone()).ok()?;
-        let JobRecord { stage, shard, tasks, .. } = record;
-        Some(CachedStage { stage, shard, tasks, revision: item.revision })
-    }
-
     /// Whether the stage is terminal (done or cancelled) and so never changes again.
     pub(crate) fn is_final(&self) -> bool {
         self.stage != StoredStage::Accepted
@@ -146,6 +139,23 @@
 }
 
 impl Controller {
+    /// Caches the stage in a job's record that was read with others, and its dependencies with it,
+    /// unless the job is done or a stage is cached already. Has no effect if the record is unreadable.
+    pub(crate) fn cache_record(&mut self, job: &str, item: &KeyValue) {
+        if self.jobs.stage_cache.contains(job) {
+            return;
+        }
+        let Ok(record) = serde_json::from_value::<JobRecord>(item.value.clone()) else {
+            return;
+        };
+        if record.stage == StoredStage::Done {
+            return;
+        }
+        self.jobs.dependency_graph.apply_record(job, &record);
+        let JobRecord { stage, shard, tasks, .. } = record;
+        self.cache_stage(job, CachedStage { stage, shard, tasks, revision: item.revision });
+    }
+
     /// Caches a job's stage. A new terminal stage is also passed to the decision log, the peers
     /// and the dependency graph and, for a cancelled job, to the machines that run its tasks.
     pub(crate) fn cache_stage(&mut self, job: &str, cached: CachedStage) {
--- a/src/controller/leadership/recovered_jobs.rs
+++ b/src/controller/leadership/recovered_jobs.rs
@@ -101,15 +101,14 @@
             recovery.discard_record(job);
             return self.continue_recovery(shard);
         }
-        let stage = match &reply {
-            KvResponse::Value(Some(item)) => CachedStage::recorded(item),
-            _ => None,
-        };
-        let is_read = recovery.add_record(job, reply, now);
-        if let Some(cached) = stage {
+        if let KvResponse::Value(Some(item)) = &reply {
             // Heartbeats of machines with tasks of the job are answered from now on.
-            self.cache_stage(job, cached);
+            self.cache_record(job, item);
         }
+        let Some(recovery) = self.leadership.recovery_mut(shard, term) else {
+            return;
+        };
+        let is_read = recovery.add_record(job, reply, now);
         if is_read {
             self.continue_recovery(shard);
         }
--- a/src/controller/machines/unknown_jobs.rs
+++ b/src/controller/machines/unknown_jobs.rs
@@ -6,8 +6,8 @@
 use crate::controller::api::record_reads::RecordRead;
 use crate::controller::call_origin::CallOrigin;
 use crate::controller::calls::MachinesCall;
-use crate::controller::jobs::job::{self, StoredStage};
-use crate::controller::jobs::stage_cache::{CachedStage, StageCache};
+use crate::controller::jobs::job;
+use crate::controller::jobs::stage_cache::StageCache;
 use crate::controller::machines::Machines;
 use crate::kv_store::{KvRequest, KvResponse, LARGE_PAGE_KEYS};
 use crate::time::Micros;
@@ -156,12 +156,9 @@
         let KvResponse::Page { items, more, .. } = reply else {
             return;
         };
-        if self.leadership.is_outdated(origin) {
-            return;
-        }
         for item in &items {
             let id = item.key.strip_prefix(&job::job_key("")).unwrap_or_default();
-            self.cache_unless_done(id, item);
+            self.cache_neighbour(id, origin, item);
         }
         let last = items.last().filter(|_| more).map(|item| item.key.clone());
         if last.is_some() && self.machines.unknown_jobs.pages_to_preload > 0 {
@@ -232,7 +229,7 @@
                         Some(id) => {
                             self.apply_unknown_job(&id, origin, &KvResponse::Value(Some(item)));
                         }
-                        None => self.cache_unless_done(id, &item),
+                        None => self.cache_neighbour(id, origin, &item),
                     }
                 }
                 for id in covered {
@@ -244,16 +241,11 @@
         self.read_unknown_jobs();
     }
 
-    /// Caches the stage in a record that was read with others, unless the job is done: machines that have
-    /// not reported yet may list its tasks.
-    fn cache_unless_done(&mut self, id: &str, item: &KeyValue) {
-        if self.jobs.stage_cache.contains(id) {
-            return;
-        }
-        if let Some(cached) = CachedStage::recorded(item)
-            && cached.stage != StoredStage::Done
-        {
-            self.cache_stage(id, cached);
+    /// Caches what was read of a job beside others: machines that have not reported yet may list its
+    /// tasks.
+    fn cache_neighbour(&mut self, id: &str, origin: CallOrigin, item: &KeyValue) {
+        if !self.leadership.is_outdated(origin) {
+            self.cache_record(id, item);
         }
     }
 
