Heartbeats: look through the listed tasks once, without copies

Each heartbeat copied the id of each listed task's job, and the tasks were looked through a second time for the check; each received desired state looked through the tasks of all shards.

The listed tasks are looked through once and copied only if their job is cancelled or unknown; the check uses the result; of a received desired state only its shard's tasks are looked at.

--- a/src/controller/leadership/acquisition.rs
+++ b/src/controller/leadership/acquisition.rs
@@ -237,7 +237,8 @@
         let shards = self.leadership.shard_count();
         let is_in_shard = |machine: &str| shard::shard_of_machine(machine, shards) == shard;
         let machines = self.machines.manage_shard(is_in_shard);
-        self.read_jobs_desired_on(&machines);
+        let all_shards: Vec<usize> = (0..shards).collect();
+        self.read_jobs_desired_by(&all_shards, &machines);
         self.changes.machines.extend(machines);
     }
 
--- a/src/controller/machines/desired_state/received.rs
+++ b/src/controller/machines/desired_state/received.rs
@@ -171,7 +171,7 @@
         for machine in &touched {
             self.desired_state_changed(machine);
         }
-        self.read_jobs_desired_on(&touched);
+        self.read_jobs_desired_by(&[update.shard], &touched);
     }
 
     /// Handles a possible change of the desired tasks of a machine: recomputes its free
--- a/src/controller/machines/heartbeats.rs
+++ b/src/controller/machines/heartbeats.rs
@@ -127,7 +127,7 @@
         let commands = self.renewal_commands(machine, applied.under_term, &doubtful);
         let authority = self.command_authority(machine).ok_or(HeartbeatRefusal::NoFencingToken)?;
         self.check_before_response(machine, authority);
-        if !self.may_renew(heartbeat, authority, &commands) {
+        if !self.may_renew(machine, authority, &doubtful, &commands) {
             return Err(HeartbeatRefusal::CancelledTaskKept);
         }
         self.record_renewal(machine, authority, &doubtful, &commands);
--- a/src/controller/machines/renewal.rs
+++ b/src/controller/machines/renewal.rs
@@ -3,6 +3,7 @@
 
 use crate::controller::Controller;
 use crate::controller::decision_log::{self, RenewalDecision, RenewalEvidence};
+use crate::controller::jobs::job::StoredStage;
 use crate::controller::jobs::stage_cache::StageCache;
 use crate::controller::machines::attempt::AttemptId;
 use crate::controller::machines::reconciler::StopReason;
@@ -30,13 +31,17 @@
     fn among(heartbeat: &Heartbeat, stages: &StageCache, unknown: &UnknownJobs) -> DoubtfulTasks {
         let mut doubtful = DoubtfulTasks::default();
         for task in heartbeat.tasks.iter().filter(|task| task.state != TaskState::Exited) {
-            let Some(attempt) = AttemptId::parse(&task.task, task.attempt) else {
+            let Some((job, _)) = task.task.split_once('/') else {
                 continue;
             };
-            if stages.is_cancelled(&attempt.job) {
-                doubtful.cancelled.push(attempt);
-            } else if unknown.is_unknown(&attempt.job, stages) {
-                doubtful.unknown_jobs.insert(attempt.job);
+            match stages.stage(job) {
+                Some(StoredStage::Cancelled) => {
+                    doubtful.cancelled.extend(AttemptId::parse(&task.task, task.attempt));
+                }
+                None if unknown.is_unknown(job, stages) => {
+                    doubtful.unknown_jobs.insert(job.to_string());
+                }
+                _ => {}
             }
         }
         doubtful
@@ -96,6 +101,9 @@
         } else {
             Vec::new()
         };
+        if doubtful.cancelled.is_empty() {
+            return commands;
+        }
         let Some(authority) = self.command_authority(machine) else {
             return commands;
         };
@@ -125,16 +133,16 @@
         }
     }
 
-    /// Whether a response with these commands may renew the lease of the worker that sent the
-    /// heartbeat: they stop every task of a cancelled job, and no job is unknown. If not, the violation
-    /// is recorded.
+    /// Whether a response with these commands may renew the lease of a worker that lists these
+    /// tasks: they stop every task of a cancelled job, and no job is unknown. If not, the violation is
+    /// recorded.
     pub(crate) fn may_renew(
         &mut self,
-        heartbeat: &Heartbeat,
+        machine: &str,
         authority: CommandAuthority,
+        doubtful: &DoubtfulTasks,
         commands: &[Command],
     ) -> bool {
-        let doubtful = self.doubtful_tasks(heartbeat);
         let violation = if doubtful.not_stopped_by(commands).next().is_some() {
             CommandViolation::CancelledTaskKept
         } else if !doubtful.unknown_jobs.is_empty() {
@@ -142,7 +150,7 @@
         } else {
             return true;
         };
-        authority.record_violation(&mut self.counts.decisions, &heartbeat.machine, violation);
+        authority.record_violation(&mut self.counts.decisions, machine, violation);
         false
     }
 
--- a/src/controller/machines/unknown_jobs.rs
+++ b/src/controller/machines/unknown_jobs.rs
@@ -123,10 +123,9 @@
         self.unknown_jobs.add(jobs);
     }
 
-    /// Queues the unknown jobs whose tasks any shard desires on a machine.
-    fn add_unknown_jobs_desired_on(&mut self, machine: &str, stages: &StageCache) {
-        let tasks = self.desired.iter().flat_map(|shard| shard.tasks_on(machine));
-        for task in tasks {
+    /// Queues the unknown jobs whose tasks a shard desires on a machine.
+    fn add_unknown_jobs_desired_by(&mut self, shard: usize, machine: &str, stages: &StageCache) {
+        for task in self.desired[shard].tasks_on(machine) {
             if self.unknown_jobs.is_unknown(&task.job, stages) {
                 self.unknown_jobs.add([task.job.clone()]);
             }
@@ -166,12 +165,16 @@
         }
     }
 
-    /// Reads the records of unknown jobs with desired tasks on these machines, as far as this process
-    /// leads their shards: they are needed when the machines report the tasks.
-    pub(crate) fn read_jobs_desired_on(&mut self, machines: &BTreeSet<String>) {
+    /// Reads the records of unknown jobs whose tasks these shards desire on these machines, as far as
+    /// this process leads the machines' shards: they are needed when the machines report the tasks.
+    pub(crate) fn read_jobs_desired_by(&mut self, shards: &[usize], machines: &BTreeSet<String>) {
         for machine in machines {
-            if self.leading_term(self.shard_of_machine(machine)).is_some() {
-                self.machines.add_unknown_jobs_desired_on(machine, &self.jobs.stage_cache);
+            if self.leading_term(self.shard_of_machine(machine)).is_none() {
+                continue;
+            }
+            for shard in shards {
+                let stages = &self.jobs.stage_cache;
+                self.machines.add_unknown_jobs_desired_by(*shard, machine, stages);
             }
         }
         self.read_unknown_jobs();
