--- a/src/controller/api/record_reads.rs
+++ b/src/controller/api/record_reads.rs
@@ -100,10 +100,7 @@
             self.count_outdated_read(job, revision);
             return RecordRead::Outdated;
         }
-        let read =
-            CachedStage { stage: record.stage, shard: record.shard, tasks: record.tasks, revision };
-        self.jobs.dependency_graph.apply_record(job, &record);
-        self.cache_stage(job, read);
+        let read = self.apply_job_record(job, &record, revision);
         // A newer stage may have been cached before this reply arrived.
         let cached = self.jobs.stage_cache.get(job).unwrap_or(read);
         match cached.stage {
--- a/src/controller/jobs/read_back.rs
+++ b/src/controller/jobs/read_back.rs
@@ -3,7 +3,6 @@
 
 use super::Jobs;
 use super::job::{self, ChunkVersion, Job, JobRecord, ReadChunk, StoredStage};
-use super::stage_cache::CachedStage;
 use crate::controller::Controller;
 use crate::controller::call_origin::CallOrigin;
 use crate::controller::calls::JobsCall;
@@ -117,9 +116,7 @@
             self.count_outdated_read(id, revision);
             return self.read_back(id);
         }
-        self.jobs.dependency_graph.apply_record(id, &record);
-        let JobRecord { stage, shard: accepted_by, tasks, .. } = record;
-        self.cache_stage(id, CachedStage { stage, shard: accepted_by, tasks, revision });
+        let stage = self.apply_job_record(id, &record, revision).stage;
         if stage == StoredStage::Cancelled {
             self.job_cancelled(id);
         }
--- a/src/controller/jobs/stage_cache.rs
+++ b/src/controller/jobs/stage_cache.rs
@@ -151,9 +151,22 @@
         if record.stage == StoredStage::Done {
             return;
         }
-        self.jobs.dependency_graph.apply_record(job, &record);
-        let JobRecord { stage, shard, tasks, .. } = record;
-        self.cache_stage(job, CachedStage { stage, shard, tasks, revision: item.revision });
+        self.apply_job_record(job, &record, item.revision);
+    }
+
+    /// Applies a job's record at `revision`: its dependencies, and its stage. They are set together:
+    /// the dependencies of a job with a cached stage count as known. Returns the stage in the record.
+    pub(crate) fn apply_job_record(
+        &mut self,
+        job: &str,
+        record: &JobRecord,
+        revision: u64,
+    ) -> CachedStage {
+        let JobRecord { stage, shard, tasks, .. } = *record;
+        let read = CachedStage { stage, shard, tasks, revision };
+        self.jobs.dependency_graph.apply_record(job, record);
+        self.cache_stage(job, read);
+        read
     }
 
     /// Caches a job's stage. A new terminal stage is also passed to the decision log, the peers
--- a/src/controller/leadership/recovered_jobs.rs
+++ b/src/controller/leadership/recovered_jobs.rs
@@ -3,7 +3,6 @@
 use crate::controller::Controller;
 use crate::controller::call_origin::CallOrigin;
 use crate::controller::jobs::job::JobRecord;
-use crate::controller::jobs::stage_cache::CachedStage;
 use crate::controller::leadership::Leadership;
 use crate::controller::leadership::recovery::{
     ReadRecord, RecoveryPage, RecoveryProgress, ShardRecovery, StoredChunks,
@@ -157,11 +156,7 @@
         revision: u64,
         chunks: &StoredChunks,
     ) -> bool {
-        self.jobs.dependency_graph.apply_record(id, record);
-        self.cache_stage(
-            id,
-            CachedStage { stage: record.stage, shard: record.shard, tasks: record.tasks, revision },
-        );
+        self.apply_job_record(id, record, revision);
         if !self.jobs.restore(shard, id, record, revision, chunks) {
             self.jobs.leave_unreadable(id, "its stored tasks are malformed");
             return false;
--- a/src/controller/leadership/watch_events.rs
+++ b/src/controller/leadership/watch_events.rs
@@ -4,7 +4,6 @@
 use crate::controller::Controller;
 use crate::controller::calls::Watch;
 use crate::controller::jobs::job::{JobRecord, StoredStage};
-use crate::controller::jobs::stage_cache::CachedStage;
 use crate::controller::leadership::{shard_lease, watches};
 use crate::kv_store::KvResponse;
 use crate::wire::{KeyValue, WatchEvent};
@@ -90,12 +89,8 @@
 
     /// Handles a write of a job's record at `revision`, by this process or another.
     fn job_record_changed(&mut self, id: &str, record: &JobRecord, revision: u64) {
-        self.jobs.dependency_graph.apply_record(id, record);
         self.jobs.forget_unreadable(id);
-        self.cache_stage(
-            id,
-            CachedStage { stage: record.stage, shard: record.shard, tasks: record.tasks, revision },
-        );
+        self.apply_job_record(id, record, revision);
         match record.stage {
             StoredStage::Cancelled => self.job_cancelled(id),
             StoredStage::Accepted => self.observe_accepted_job(id, record.shard),
