Unknown jobs: less on the path of heartbeats and in the reply to a page; tests share a set-up

- The response to a heartbeat looked for unknown jobs among the listed tasks a second time, in reconciliation, after their absence had been made sure.
Now only direct commands do.
- The reply with a page of unknown jobs had a check of its own for outdated replies.
- The id in a job's key is parsed in one place.
A refusal that two violations share has a name for both.
- lease_renewals.rs and outdated_replies.rs had the same set-up twice; mod.rs has it once.

--- a/src/controller/decision_log.rs
+++ b/src/controller/decision_log.rs
@@ -92,7 +92,7 @@
     Refused,
 }
 
-/// What a decision on the renewal of a worker's lease is based on.
+/// Evidence for a decision on the renewal of a worker's lease.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RenewalEvidence {
     /// The decision.
--- a/src/controller/jobs/job/keys.rs
+++ b/src/controller/jobs/job/keys.rs
@@ -84,6 +84,11 @@
     format!("j/{id}")
 }
 
+/// Id of the job whose record is stored under a key; empty if it is the key of no record.
+pub fn id_in_job_key(key: &str) -> &str {
+    key.strip_prefix(&job_key("")).unwrap_or_default()
+}
+
 /// Key of one chunk of a job's tasks.
 pub fn chunk_key(shard: usize, id: &str, chunk: usize) -> String {
     format!("w/{shard}/{id}/{chunk}")
--- a/src/controller/jobs/record_pages.rs
+++ b/src/controller/jobs/record_pages.rs
@@ -121,7 +121,7 @@
         }
         let last = items.last().filter(|_| more).map(|item| item.key.clone());
         for item in items {
-            let id = item.key.strip_prefix(&job::job_key("")).unwrap_or_default().to_string();
+            let id = job::id_in_job_key(&item.key).to_string();
             if self.jobs.record_pages.requested.remove(&id) {
                 self.apply_record_reply(&id, origin, &KvResponse::Value(Some(item)));
             }
--- a/src/controller/machines/commands.rs
+++ b/src/controller/machines/commands.rs
@@ -47,7 +47,11 @@
             machine_types: &self.autoscaler.machine_types,
         };
         let reconciler = Reconciler::collect(inputs, machine, managed, authority);
-        let unknown_jobs = reconciler.unknown_jobs(managed);
+        // Before a response to a heartbeat, the stages of all listed jobs are known.
+        let unknown_jobs = match route {
+            CommandRoute::Direct => reconciler.unknown_jobs(managed),
+            CommandRoute::HeartbeatResponse => Vec::new(),
+        };
         let outcome = reconciler.reconcile(managed, route);
         let counts = &mut self.counts.decisions;
         for violation in outcome.violations {
--- a/src/controller/machines/heartbeats.rs
+++ b/src/controller/machines/heartbeats.rs
@@ -61,9 +61,9 @@
     /// with it all starts that may still arrive.
     #[error("no token is left")]
     NoFencingToken,
-    /// The response would keep a task of a cancelled job, which is a bug in this program.
-    #[error("a cancelled task would be kept")]
-    CancelledTaskKept,
+    /// The response would break a rule of this program, which is a bug.
+    #[error("a rule would be broken")]
+    RuleViolation,
 }
 
 impl Controller {
@@ -128,7 +128,7 @@
         let authority = self.command_authority(machine).ok_or(HeartbeatRefusal::NoFencingToken)?;
         self.check_before_response(machine, authority);
         if !self.may_renew(machine, authority, &doubtful, &commands) {
-            return Err(HeartbeatRefusal::CancelledTaskKept);
+            return Err(HeartbeatRefusal::RuleViolation);
         }
         self.record_renewal(machine, authority, &doubtful, &commands);
         self.machines.record_answered(machine, now);
--- a/src/controller/machines/unknown_jobs.rs
+++ b/src/controller/machines/unknown_jobs.rs
@@ -135,7 +135,7 @@
 
 impl Controller {
     /// Reads the first records when the watch of jobs has started, since most jobs are unknown then and
-    /// their machines report within seconds. Jobs without a stage are unknown again, too.
+    /// their machines send heartbeats within seconds. Jobs without a stage are unknown again, too.
     pub(crate) fn preload_stages(&mut self) {
         self.machines.unknown_jobs.without_stage.clear();
         self.machines.unknown_jobs.pages_to_preload = PRELOADED_PAGES;
@@ -156,7 +156,7 @@
             return;
         };
         for item in &items {
-            let id = item.key.strip_prefix(&job::job_key("")).unwrap_or_default();
+            let id = job::id_in_job_key(&item.key);
             self.cache_neighbour(id, origin, item);
         }
         let last = items.last().filter(|_| more).map(|item| item.key.clone());
@@ -165,8 +165,8 @@
         }
     }
 
-    /// Reads the records of unknown jobs whose tasks these shards desire on these machines, as far as
-    /// this process leads the machines' shards: they are needed when the machines report the tasks.
+    /// Reads the records of unknown jobs whose tasks these shards desire on these machines, before the
+    /// machines' heartbeats list the tasks. Machines of shards that other processes lead are left out.
     pub(crate) fn read_jobs_desired_by(&mut self, shards: &[usize], machines: &BTreeSet<String>) {
         for machine in machines {
             if self.leading_term(self.shard_of_machine(machine)).is_none() {
@@ -221,13 +221,12 @@
         let now = self.context.now;
         self.machines.unknown_jobs.page_in_flight = false;
         match reply {
-            KvResponse::Page { .. } if self.leadership.is_outdated(origin) => {}
             KvResponse::Page { items, more, .. } => {
                 let last = items.last().filter(|_| more).map(|item| item.key.clone());
                 let unknown_jobs = &mut self.machines.unknown_jobs;
                 let mut covered = unknown_jobs.take_covered(now, first, last.as_deref());
                 for item in items {
-                    let id = item.key.strip_prefix(&job::job_key("")).unwrap_or_default();
+                    let id = job::id_in_job_key(&item.key);
                     match covered.take(id) {
                         Some(id) => {
                             self.apply_unknown_job(&id, origin, &KvResponse::Value(Some(item)));
@@ -244,8 +243,8 @@
         self.read_unknown_jobs();
     }
 
-    /// Caches what was read of a job beside others: machines that have not reported yet may list its
-    /// tasks.
+    /// Caches a record that was read beside others: machines that have sent no heartbeat yet may list
+    /// tasks of its job.
     fn cache_neighbour(&mut self, id: &str, origin: CallOrigin, item: &KeyValue) {
         if !self.leadership.is_outdated(origin) {
             self.cache_record(id, item);
--- a/tests/controller/safety_guards/lease_renewals.rs
+++ b/tests/controller/safety_guards/lease_renewals.rs
@@ -1,6 +1,7 @@
 //! Responses to heartbeats that renew the lease of a worker while it lists tasks of cancelled jobs.
 
-use crate::harness::{Harness, Outcome, settings};
+use super::{beside_the_leader_of_shard_1, preloads, record_in_shard_1 as record};
+use crate::harness::{Harness, Outcome};
 use millethold::controller::jobs::stage_cache::MAX_CACHED_JOBS;
 use millethold::controller::machines::unknown_jobs::{
     MAX_READS as MAX_UNKNOWN_READS, MIN_JOBS_FOR_PAGE, RETRY_DELAY as READ_RETRY_DELAY,
@@ -17,28 +18,19 @@
 /// Number of values in a page of the stand-in of the store.
 const STORE_PAGE: usize = 5;
 
-/// The record of a job of shard 1 at this stage: `a`, `c` or `d`.
-fn record(stage: &str) -> Value {
-    json!({"s": 1, "g": stage, "n": 4})
-}
-
 fn reads_job(call: &KvRequest) -> bool {
     matches!(call, KvRequest::Get(key) if key == "j/j-1")
 }
 
-/// Starts one of two controllers with four machines, on which tasks of job j-1 of the other's shard run.
-/// It leads the shard of some of these machines. No stage is preloaded, as of jobs after the first pages.
+/// Starts one of two controllers, the other of which leads the shard of job j-1.
 fn beside_the_leader_of_the_job(stored: &[(String, Value)]) -> Harness {
-    let lease = json!({"member": "n1", "run": 3, "term": 4, "lease": 99});
-    let mut harness = Harness::new(&settings(0, 2, ""), stored);
-    harness.put_together([("seat/1", json!({"term": 4})), ("hold/1", lease)]);
-    harness.outcome =
-        Box::new(|call| if preloads(call) { Outcome::Refused } else { Outcome::Served });
+    let mut harness = beside_the_leader_of_shard_1(stored);
     harness.wait_until_healthy();
     harness.task_duration_s.insert("j-1".into(), 1_000.0);
     harness
 }
 
+/// Adds four machines with tasks of j-1. The controller leads the shard of some of them.
 fn add_machines(harness: &mut Harness) {
     (0..4).for_each(|index| harness.add_machine_with_tasks([format!("j-1/{index}")]));
 }
@@ -51,11 +43,6 @@
     });
 }
 
-/// Whether a call reads the first records since the watch of jobs has started.
-fn preloads(call: &KvRequest) -> bool {
-    matches!(call, KvRequest::List { prefix, after: None, .. } if prefix == "j/")
-}
-
 /// The machine's first heartbeat reports the fencing token of an earlier leader.
 #[test]
 fn cancelled_task_kept_by_the_first_response_under_a_new_term() {
--- a/tests/controller/safety_guards/mod.rs
+++ b/tests/controller/safety_guards/mod.rs
@@ -12,9 +12,10 @@
 mod status_queries;
 mod unlisted_jobs;
 
-use crate::harness::Harness;
-use millethold::kv_store::KvRequest;
+use crate::harness::{Harness, Outcome, settings};
+use millethold::kv_store::{KvRequest, LARGE_PAGE_KEYS};
 use millethold::wire::Write;
+use serde_json::{Value, json};
 
 /// The key that a write changes.
 fn key_of(write: &Write) -> &str {
@@ -31,6 +32,28 @@
     txn.writes.iter().any(|w| key_of(w).starts_with(prefix))
 }
 
+/// Whether a call reads the first records since the watch of jobs has started.
+fn preloads(call: &KvRequest) -> bool {
+    matches!(call, KvRequest::List { prefix, after: None, limit }
+        if prefix == "j/" && *limit == LARGE_PAGE_KEYS)
+}
+
+/// The record of a job that shard 1 has accepted, at this stage: `a`, `c` or `d`.
+fn record_in_shard_1(stage: &str) -> Value {
+    json!({"s": 1, "g": stage, "n": 4})
+}
+
+/// Creates one of two controllers, the other of which leads shard 1. It has not started yet. No stage
+/// is preloaded, as of jobs after the first pages.
+fn beside_the_leader_of_shard_1(stored: &[(String, Value)]) -> Harness {
+    let lease = json!({"member": "n1", "run": 3, "term": 4, "lease": 99});
+    let mut harness = Harness::new(&settings(0, 2, ""), stored);
+    harness.put_together([("seat/1", json!({"term": 4})), ("hold/1", lease)]);
+    harness.outcome =
+        Box::new(|call| if preloads(call) { Outcome::Refused } else { Outcome::Served });
+    harness
+}
+
 /// The term of a shard, and whether the controller leads it.
 fn shard_status(harness: &Harness, shard: usize) -> (u64, bool) {
     let status = harness.controller.status(harness.now);
--- a/tests/controller/safety_guards/outdated_replies.rs
+++ b/tests/controller/safety_guards/outdated_replies.rs
@@ -1,14 +1,16 @@
 //! Replies of the key-value store that are older than the revision from which a watch has started:
 //! the changes in between are never delivered.
 
-use super::{shard_status, writes};
-use crate::harness::{Harness, Outcome, settings, submission, submission_after};
+use super::{
+    beside_the_leader_of_shard_1, preloads, record_in_shard_1 as record, shard_status, writes,
+};
+use crate::harness::{Harness, Outcome, submission, submission_after};
 use millethold::controller::jobs::job::MAX_SINGLE_READS;
 use millethold::controller::jobs::stage_cache::MAX_CACHED_JOBS;
-use millethold::kv_store::{KvRequest, LARGE_PAGE_KEYS};
+use millethold::kv_store::KvRequest;
 use millethold::time::Micros;
 use millethold::wire::Txn;
-use serde_json::{Value, json};
+use serde_json::json;
 
 /// Time in which a call is answered, and a watch that has ended is called again.
 const SHORT: Micros = Micros::millis(100);
@@ -17,20 +19,10 @@
 /// Number of dependencies that are read by pages and not one by one.
 const MANY: usize = MAX_SINGLE_READS + 1;
 
-/// The record of a job that shard 1 has accepted, at this stage: `a`, `c` or `d`.
-fn record(stage: &str) -> Value {
-    json!({"s": 1, "g": stage, "n": 2})
-}
-
 /// Creates one of two controllers that has not started yet. The other one leads shard 1, to which
-/// job j-1 belongs. Its stage is not preloaded, as that of a job after the first pages.
+/// job j-1 belongs.
 fn not_started() -> Harness {
-    let lease = json!({"member": "n1", "run": 3, "term": 4, "lease": 99});
-    let mut harness = Harness::new(&settings(0, 2, ""), &[("j/j-1".into(), record("a"))]);
-    harness.put_together([("seat/1", json!({"term": 4})), ("hold/1", lease)]);
-    harness.outcome =
-        Box::new(|call| if preloads(call) { Outcome::Refused } else { Outcome::Served });
-    harness
+    beside_the_leader_of_shard_1(&[("j/j-1".into(), record("a"))])
 }
 
 /// Starts one of two controllers.
@@ -60,11 +52,6 @@
     matches!(call, KvRequest::Get(key) if key == "j/j-1")
 }
 
-/// Whether a call reads the first records since the watch of jobs has started.
-fn preloads(call: &KvRequest) -> bool {
-    matches!(call, KvRequest::List { prefix, limit, .. } if prefix == "j/" && *limit == LARGE_PAGE_KEYS)
-}
-
 /// Holds back the reply to the next call for which `is_held` is true. Nothing else is preloaded
 /// meanwhile, so that stages are unknown after a gap.
 fn hold_next_reply(harness: &mut Harness, is_held: fn(&KvRequest) -> bool) {
